Await outside of conditions: GCC 12 miscompiles co_await in short-circuit expressions

Ruled out: connect time-outs of the stream, aggregate temporaries in co_return. Also: a line for each unserved request with what decided it, bounded per second.

--- a/include/pomeloloft/sidecar/entry.hpp
+++ b/include/pomeloloft/sidecar/entry.hpp
@@ -3,6 +3,7 @@
 #include <functional>
 #include <string>
 
+#include "pomeloloft/base/line_limiter.hpp"
 #include "pomeloloft/net/server.hpp"
 #include "pomeloloft/sidecar/board.hpp"
 #include "pomeloloft/sidecar/gate.hpp"
@@ -27,11 +28,14 @@
     net::task<net::response> route(net::request& received);
     net::task<net::response> serve(net::request& received, journey& j);
 
+    void log_unserved(const net::request& received, const journey& j);
+
     board& shared;
     target_gate& gate;
     peer_links& peers;
     routing::split_picker splits;
     choice_options options;
+    line_limiter unserved_lines;
 };
 
 } // namespace pomeloloft::sidecar
--- a/src/pomeloloft/net/client.cpp
+++ b/src/pomeloloft/net/client.cpp
@@ -91,6 +91,13 @@
     }
 }
 
+error connect_error(const tcp::endpoint& address, const error_code& failed)
+{
+    const bool timed_out = failed == beast::error::timeout;
+    return {timed_out ? pomeloloft::error_code::timeout : pomeloloft::error_code::unavailable,
+            address.address().to_string(), failed.message()};
+}
+
 bool is_for(const response& answer, const request& sent, const std::string& id_header)
 {
     return id_header.empty() || answer[id_header] == sent[id_header];
@@ -125,12 +132,8 @@
     const time_point now = steady_clock::now();
     opened->stream.expires_at(std::min(deadline, now + this->options.connect_timeout));
     const auto [failed] = co_await opened->stream.async_connect(address, use_task);
-    if (failed == beast::error::timeout) {
-        co_return error{pomeloloft::error_code::timeout, address.address().to_string(), "no answer"};
-    }
     if (failed) {
-        co_return error{pomeloloft::error_code::unavailable, address.address().to_string(),
-                        failed.message()};
+        co_return connect_error(address, failed);
     }
     configure_socket(opened->stream, this->options.liveness);
     co_return opened;
--- a/src/pomeloloft/net/server.cpp
+++ b/src/pomeloloft/net/server.cpp
@@ -130,9 +130,11 @@
         co_return true;
     }
     stream.expires_after(limits.body_timeout);
-    if (beast::iequals(parser.get()[http::field::expect], "100-continue") &&
-        !co_await send_continue(stream)) {
-        co_return false;
+    if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+        const bool sent = co_await send_continue(stream);
+        if (!sent) {
+            co_return false;
+        }
     }
     const auto [cut, body_read] = co_await http::async_read(stream, buffer, parser, use_task);
     if (cut) {
@@ -203,7 +205,9 @@
 task<void> server::serve(std::shared_ptr<server> self, tcp_stream stream)
 {
     beast::flat_buffer buffer;
-    while (co_await serve_one(*self, stream, buffer)) {
+    bool open = true;
+    while (open) {
+        open = co_await serve_one(*self, stream, buffer);
     }
     error_code ignored;
     stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
@@ -212,7 +216,8 @@
 task<bool> server::serve_one(server& self, tcp_stream& stream, beast::flat_buffer& buffer)
 {
     request_parser parser;
-    if (!co_await read_request(stream, buffer, parser, self.limits)) {
+    const bool whole = co_await read_request(stream, buffer, parser, self.limits);
+    if (!whole) {
         co_return false;
     }
     const active_scope counted(self.active_count);
--- a/src/pomeloloft/sidecar/daemon.cpp
+++ b/src/pomeloloft/sidecar/daemon.cpp
@@ -170,7 +170,11 @@
 net::task<void> sidecar_daemon::join()
 {
     milliseconds pause = first_retry;
-    while (!this->shared.stopping && !co_await this->register_self()) {
+    for (;;) {
+        const bool registered = co_await this->register_self();
+        if (registered || this->shared.stopping) {
+            break;
+        }
         // A peer that knows this node answers for the fleet while the store does not.
         this->shared.joined = this->shared.joined || this->peers.heard_from_peer();
         co_await net::sleep_for(pause);
@@ -267,7 +271,10 @@
     }
     const bool left = this->gate.target.state == target_state::leaving &&
                       this->gate.target.instance == reported.instance;
-    co_return !left || co_await this->keep_leave();
+    if (!left) {
+        co_return true;
+    }
+    co_return co_await this->keep_leave();
 }
 
 net::task<bool> sidecar_daemon::withdraw(instance_key instance)
@@ -280,7 +287,10 @@
     }
     const bool left = this->gate.target.state == target_state::leaving &&
                       this->gate.target.instance.id == instance.id;
-    co_return !left || co_await this->keep_leave();
+    if (!left) {
+        co_return true;
+    }
+    co_return co_await this->keep_leave();
 }
 
 net::task<bool> sidecar_daemon::keep_leave()
@@ -331,7 +341,8 @@
 {
     while (!this->gate.reachable() && !this->shared.stopping) {
         co_await net::sleep_for(reconnect_interval);
-        if (!this->gate.reachable() && co_await this->gate.try_connect()) {
+        const bool connected = co_await this->gate.try_connect();
+        if (connected) {
             this->gate.target_changed();
         }
     }
--- a/src/pomeloloft/sidecar/entry.cpp
+++ b/src/pomeloloft/sidecar/entry.cpp
@@ -96,6 +96,26 @@
     journey_state state;
 };
 
+void entry_router::log_unserved(const net::request& received, const journey& j)
+{
+    const time_point now = steady_clock::now();
+    if (!this->unserved_lines.take(now)) {
+        return;
+    }
+    const auto found = this->shared.endpoints.find(j.service);
+    const std::size_t endpoints = found == this->shared.endpoints.end() ? 0 : found->second.candidates.size();
+    const auto id = received[this->shared.own.headers.request_id];
+    log_change("request-unserved", {{"request", std::string_view(id.data(), id.size())},
+                                    {"route", j.route->name},
+                                    {"service", j.service},
+                                    {"last", name_of(try_outcome_names, j.state.last)},
+                                    {"arrivals", static_cast<std::uint64_t>(j.state.arrivals)},
+                                    {"redirects", static_cast<std::uint64_t>(j.state.redirects)},
+                                    {"endpoints", static_cast<std::uint64_t>(endpoints)},
+                                    {"left_ms", static_cast<std::int64_t>(remaining(j.deadline, now).count())},
+                                    {"suppressed", this->unserved_lines.take_suppressed()}});
+}
+
 net::task<net::reply> entry_router::answer(net::request& received)
 {
     ++this->shared.counters.received;
@@ -233,6 +253,9 @@
         }
         ++counters.redirected;
     }
+    if (!kept) {
+        this->log_unserved(received, j);
+    }
     if (kept) {
         ++counters.answered;
         co_return std::move(*kept);
--- a/src/pomeloloft/sidecar/gate.cpp
+++ b/src/pomeloloft/sidecar/gate.cpp
@@ -34,6 +34,12 @@
     return parsed ? parsed.value() : net::tcp::endpoint{};
 }
 
+error failed_probe(net::exchange_end end)
+{
+    return {pomeloloft::error_code::unavailable, "health check",
+            std::string(name_of(net::exchange_end_names, end))};
+}
+
 bool is_encoded(const net::response& answer)
 {
     return answer.find(net::http::field::content_encoding) != answer.end();
@@ -176,8 +182,14 @@
     out.outcome = try_outcome::refused;
     if (verdict == gate_verdict::run) {
         ++this->running;
-    } else if (verdict != gate_verdict::wait || !co_await this->wait_for_slot(call)) {
-        co_return out;
+    } else {
+        if (verdict != gate_verdict::wait) {
+            co_return out;
+        }
+        const bool granted = co_await this->wait_for_slot(call);
+        if (!granted) {
+            co_return out;
+        }
     }
     const slot held(*this);
     now = steady_clock::now();
@@ -289,8 +301,7 @@
     options.deadline = deadline;
     net::exchange_result ended = co_await net::exchange(*connected.value(), sent, options);
     if (ended.end != net::exchange_end::answered) {
-        co_return error{pomeloloft::error_code::unavailable, "health check",
-                        std::string(name_of(net::exchange_end_names, ended.end))};
+        co_return failed_probe(ended.end);
     }
     const bool healthy = ended.answer.result() == net::http::status::ok;
     if (ended.reusable) {
