--- a/include/pomeloloft/sidecar/peer_headers.hpp
+++ b/include/pomeloloft/sidecar/peer_headers.hpp
@@ -17,6 +17,10 @@
 /// Names a try of a request that must not run twice, for inquiries.
 inline constexpr const char* attempt = "x-pomeloloft-attempt";
 
+/// `NODE INCARNATION` of the process that is meant: after a restart, or where another VM has got the address,
+/// what it says of earlier tries would be wrong.
+inline constexpr const char* process = "x-pomeloloft-process";
+
 /// `try_outcome` of a forwarded request.
 inline constexpr const char* outcome = "x-pomeloloft-outcome";
 /// Expected wait for a slot, in milliseconds.
--- a/include/pomeloloft/sidecar/peers.hpp
+++ b/include/pomeloloft/sidecar/peers.hpp
@@ -52,14 +52,20 @@
     std::function<void()> on_config;
 
 private:
+    /// A try of a request that must not run twice, and the process it was sent to.
+    struct sent_attempt {
+        std::string id;
+        std::string process;
+    };
+
     net::task<net::reply> serve_forwarded(net::request& received);
     net::reply serve_sync(const net::request& received);
     net::reply serve_config() const;
     net::reply serve_fence(const net::request& received);
     net::task<bool> sync_with(std::string node, net::tcp::endpoint address);
     net::task<void> fetch_config(std::string node, net::tcp::endpoint address);
-    net::task<attempt_state> inquire(net::tcp::endpoint address, std::string attempt);
-    net::task<try_result> settle_loss(net::tcp::endpoint address, std::string attempt, bool timed_out);
+    net::task<attempt_state> inquire(net::tcp::endpoint address, sent_attempt sent);
+    net::task<try_result> settle_loss(net::tcp::endpoint address, sent_attempt sent, bool timed_out);
     void note_remote_config(const std::string& node, net::tcp::endpoint address, std::string_view version);
     std::string sync_body(bool whole) const;
 
--- a/src/pomeloloft/sidecar/peers.cpp
+++ b/src/pomeloloft/sidecar/peers.cpp
@@ -79,6 +79,19 @@
     return out;
 }
 
+/// Names the process that a node is known to run; names none for an unknown node.
+std::string process_name(const member_table& members, const std::string& node)
+{
+    const member* known = find_member(members, node);
+    return known == nullptr ? std::string{} : node + ' ' + std::to_string(known->incarnation);
+}
+
+/// Whether a process name is of another node.
+bool is_for_other_node(std::string_view process, const std::string& node)
+{
+    return process.substr(0, process.find(' ')) != node;
+}
+
 void erase_peer_headers(net::response& answer)
 {
     answer.erase(peer_header::outcome);
@@ -103,14 +116,19 @@
     if (!connected) {
         co_return out;
     }
-    const std::string attempt = call.idempotent ? std::string{} : to_hex(random_draw()) + to_hex(random_draw());
+    sent_attempt attempt;
+    attempt.process = process_name(this->shared.members, node);
+    if (!call.idempotent) {
+        attempt.id = to_hex(random_draw()) + to_hex(random_draw());
+    }
     const time_point now = steady_clock::now();
     sent.set(peer_header::service, call.service);
     sent.set(peer_header::priority, std::to_string(call.priority));
     sent.set(peer_header::max_wait, std::to_string(call.max_wait.count()));
     sent.set(peer_header::time_left, std::to_string(remaining(call.deadline, now).count()));
     sent.set(peer_header::idempotent, call.idempotent ? "1" : "0");
-    sent.set(peer_header::attempt, attempt);
+    sent.set(peer_header::attempt, attempt.id);
+    sent.set(peer_header::process, attempt.process);
     const auto held = this->shared.config.load();
     sent.set(peer_header::config, std::to_string(held ? held->version : 0));
     net::exchange_options options;
@@ -145,10 +163,10 @@
     co_return out;
 }
 
-net::task<try_result> peer_links::settle_loss(net::tcp::endpoint address, std::string attempt, bool timed_out)
+net::task<try_result> peer_links::settle_loss(net::tcp::endpoint address, sent_attempt sent, bool timed_out)
 {
     try_result out;
-    const attempt_state state = co_await this->inquire(address, attempt);
+    const attempt_state state = co_await this->inquire(address, std::move(sent));
     out.outcome = timed_out ? try_outcome::timed_out : try_outcome::lost;
     if (state == attempt_state::fenced) {
         out.outcome = try_outcome::unavailable;
@@ -156,7 +174,7 @@
     co_return out;
 }
 
-net::task<attempt_state> peer_links::inquire(net::tcp::endpoint address, std::string attempt)
+net::task<attempt_state> peer_links::inquire(net::tcp::endpoint address, sent_attempt attempt)
 {
     // An idle connection may be silent for the same reason as the lost one: ask on a new one.
     const time_point deadline = steady_clock::now() + inquiry_timeout;
@@ -165,12 +183,13 @@
         co_return attempt_state::started;
     }
     net::request sent{net::http::verb::post, peer_header::fence_path, 11};
-    sent.set(peer_header::attempt, attempt);
+    sent.set(peer_header::attempt, attempt.id);
+    sent.set(peer_header::process, attempt.process);
     sent.prepare_payload();
     net::exchange_options options;
     options.deadline = deadline;
     const net::exchange_result ended = co_await net::exchange(*connected.value(), sent, options);
-    if (ended.end != net::exchange_end::answered) {
+    if (ended.end != net::exchange_end::answered || ended.answer.result() != net::http::status::ok) {
         co_return attempt_state::started;
     }
     co_return value_of(attempt_state_names, ended.answer.body()).value_or(attempt_state::started);
@@ -207,13 +226,17 @@
     const std::string attempt(attempt_text.data(), attempt_text.size());
     const auto id_text = received[this->shared.own.headers.request_id];
     const std::string id(id_text.data(), id_text.size());
+    const auto process = received[peer_header::process];
+    const bool meant_for_me = !is_for_other_node({process.data(), process.size()}, this->shared.own.node);
     for (const char* name :
          {peer_header::service, peer_header::priority, peer_header::max_wait, peer_header::time_left,
-          peer_header::idempotent, peer_header::attempt, peer_header::config}) {
+          peer_header::idempotent, peer_header::attempt, peer_header::process, peer_header::config}) {
         received.erase(name);
     }
     try_result ended;
-    const bool may_run = attempt.empty() || (this->attempts.arrive(attempt) && this->attempts.begin(attempt));
+    const bool is_first =
+        attempt.empty() || (this->attempts.arrive(attempt) && this->attempts.begin(attempt));
+    const bool may_run = meant_for_me && is_first;
     if (may_run) {
         ended = co_await this->gate.serve(received, call);
     }
@@ -235,6 +258,9 @@
 net::reply peer_links::serve_fence(const net::request& received)
 {
     const auto attempt = received[peer_header::attempt];
+    if (received[peer_header::process] != process_name(this->shared.members, this->shared.own.node)) {
+        return {net::make_response(net::http::status::misdirected_request)};
+    }
     const attempt_state state = this->attempts.fence(std::string(attempt.data(), attempt.size()), true);
     return {net::make_response(net::http::status::ok, std::string(name_of(attempt_state_names, state)))};
 }
