--- a/include/pomeloloft/sidecar/board.hpp
+++ b/include/pomeloloft/sidecar/board.hpp
@@ -55,6 +55,10 @@
     bool joined = false;
     /// Whether the process is on its way out.
     bool stopping = false;
+    /// From when on callers' new requests are refused, as the process ends soon.
+    time_point callers_refused_from = no_deadline;
+    /// The same for requests from other sidecars.
+    time_point peers_refused_from = no_deadline;
     std::unordered_map<std::string, endpoint_load> loads;
     std::unordered_map<std::string, endpoint_list> endpoints;
     std::unordered_map<std::string, std::unique_ptr<retry_budget>> budgets;
--- a/src/pomeloloft/sidecar/daemon.cpp
+++ b/src/pomeloloft/sidecar/daemon.cpp
@@ -32,6 +32,8 @@
 constexpr std::uint32_t assumed_slots = 4;
 /// Checks that take this process out of its callers' rotation come every second; two have to fail.
 constexpr milliseconds rotation_time{2200};
+/// Time in which other sidecars hear that this one leaves.
+constexpr milliseconds news_time{500};
 /// Requests are given up this long before the process is killed.
 constexpr milliseconds kill_margin{400};
 constexpr milliseconds stop_poll{50};
@@ -371,6 +373,8 @@
 {
     const time_point begun = steady_clock::now();
     const time_point killed_at = begun + this->shared.own.grace;
+    this->shared.callers_refused_from = begun + rotation_time;
+    this->shared.peers_refused_from = begun + news_time;
     this->publish();
     this->outbound->close_after_answers();
     const auto busy = [this] { return this->outbound->active() + this->inbound->active(); };
--- a/src/pomeloloft/sidecar/entry.cpp
+++ b/src/pomeloloft/sidecar/entry.cpp
@@ -19,6 +19,8 @@
 
 /// Told to callers that come while no configuration is known.
 constexpr milliseconds retry_after_no_config{500};
+/// Told to callers that come while the process ends: another sidecar can serve them at once.
+constexpr milliseconds retry_after_leaving{50};
 
 /// Removes what concerns one connection only, and names used between sidecars.
 template <typename Message>
@@ -132,9 +134,10 @@
 {
     journey j;
     j.table = routes_of(this->shared);
-    if (!j.table) {
+    const bool leaves = steady_clock::now() >= this->shared.callers_refused_from;
+    if (!j.table || leaves) {
         ++this->shared.counters.refused;
-        co_return unavailable(retry_after_no_config);
+        co_return unavailable(leaves ? retry_after_leaving : retry_after_no_config);
     }
     const auto host = received[http::field::host];
     const auto target = received.target();
--- a/src/pomeloloft/sidecar/peers.cpp
+++ b/src/pomeloloft/sidecar/peers.cpp
@@ -236,7 +236,8 @@
     try_result ended;
     const bool is_first =
         attempt.empty() || (this->attempts.arrive(attempt) && this->attempts.begin(attempt));
-    const bool may_run = meant_for_me && is_first;
+    const bool leaves = steady_clock::now() >= this->shared.peers_refused_from;
+    const bool may_run = meant_for_me && is_first && !leaves;
     if (may_run) {
         ended = co_await this->gate.serve(received, call);
     }
