--- a/cmake/pomeloloft_tests.cmake
+++ b/cmake/pomeloloft_tests.cmake
@@ -3,20 +3,23 @@
 add_library(pomeloloft_stand_ins STATIC
   test/stand_ins/log_server.cpp
   test/stand_ins/target_server.cpp
-  test/stand_ins/fault_proxy.cpp)
+  test/stand_ins/fault_proxy.cpp
+  test/stand_ins/platform_store.cpp
+  test/stand_ins/platform_target.cpp)
 target_include_directories(pomeloloft_stand_ins PUBLIC test/stand_ins)
 target_link_libraries(pomeloloft_stand_ins PUBLIC pomeloloft_core PRIVATE pomeloloft_warnings)
 
 add_executable(pomeloloft_stand_in test/stand_ins/main.cpp)
 target_link_libraries(pomeloloft_stand_in PRIVATE pomeloloft_stand_ins)
 
-file(GLOB_RECURSE unit_tests CONFIGURE_DEPENDS src/pomeloloft/*_test.cpp)
+file(GLOB_RECURSE unit_tests CONFIGURE_DEPENDS src/pomeloloft/*_test.cpp platform/*_test.cpp)
 if(unit_tests)
   add_executable(pomeloloft_unit_tests test/unit_main.cpp ${unit_tests})
   target_link_libraries(pomeloloft_unit_tests PRIVATE
     pomeloloft_core pomeloloft_wire pomeloloft_stand_ins Boost::unit_test_framework)
   target_compile_definitions(pomeloloft_unit_tests PRIVATE BOOST_TEST_DYN_LINK
-    POMELOLOFT_TRACES="${CMAKE_SOURCE_DIR}/test/traces")
+    POMELOLOFT_TRACES="${CMAKE_SOURCE_DIR}/test/traces"
+    POMELOLOFT_DEPLOY="${CMAKE_SOURCE_DIR}/deploy")
   add_test(NAME unit COMMAND pomeloloft_unit_tests)
   set_tests_properties(unit PROPERTIES TIMEOUT 120)
 endif()
@@ -27,7 +30,8 @@
 
 # Starts real processes for tests and tools.
 add_library(pomeloloft_harness STATIC 
-  test/integration/fleet.cpp test/integration/http_client.cpp test/integration/process_usage.cpp)
+  test/integration/fleet.cpp test/integration/http_client.cpp test/integration/process_usage.cpp
+  test/integration/sidecar_fleet.cpp)
 target_include_directories(pomeloloft_harness PUBLIC test/integration)
 target_link_libraries(pomeloloft_harness PUBLIC pomeloloft_stand_ins PRIVATE pomeloloft_warnings)
 target_compile_definitions(pomeloloft_harness PUBLIC ${harness_definitions})
--- a/include/pomeloloft/sidecar/entry.hpp
+++ b/include/pomeloloft/sidecar/entry.hpp
@@ -24,7 +24,8 @@
 private:
     struct journey;
 
-    net::task<try_result> try_on(net::request& sent, const journey& j, std::size_t position, target_call call);
+    net::task<try_result> try_on(net::request& sent, const journey& j, std::size_t position,
+                                 target_call call);
     net::task<net::response> route(net::request& received);
     net::task<net::response> serve(net::request& received, journey& j);
 
--- a/include/pomeloloft/sidecar/gate.hpp
+++ b/include/pomeloloft/sidecar/gate.hpp
@@ -61,7 +61,8 @@
     bool broke_target = false;
 };
 
-/// Owns the slots, the queue and the connections of the target beside this process. Belongs to one event loop.
+/// Owns the slots, the queue and the connections of the target beside this process. Belongs to one event
+/// loop.
 class target_gate {
 public:
     target_gate(net::event_loop& where, const settings& own);
--- a/include/pomeloloft/sidecar/retry_policy.hpp
+++ b/include/pomeloloft/sidecar/retry_policy.hpp
@@ -46,7 +46,8 @@
     retry,
 };
 
-/// Decides after a try. A request that must not run twice is sent again only where it is sure not to have run.
+/// Decides after a try. A request that must not run twice is sent again only where it is sure not to have
+/// run.
 [[nodiscard]] next_step decide_next(const journey_state& state, time_point now, time_point deadline);
 
 /// What a caller whose request was not answered by a target is told.
--- a/include/pomeloloft/sidecar/shared_store.hpp
+++ b/include/pomeloloft/sidecar/shared_store.hpp
@@ -26,7 +26,8 @@
     /// @return nothing when none came in a while.
     virtual net::task<result<std::optional<std::string>>> next_config() = 0;
 
-    /// Writes records of the project's own, all or none. A write that was given up never replaces a later one.
+    /// Writes records of the project's own, all or none. A write that was given up never replaces a later
+    /// one.
     virtual net::task<result<void>> put(std::vector<store_record> records, time_point deadline) = 0;
 
     /// All records of the project's own.
--- a/src/pomeloloft/config/fold.cpp
+++ b/src/pomeloloft/config/fold.cpp
@@ -161,8 +161,8 @@
     try {
         const json source = json::parse(body);
         fold_state state;
-        BOOST_OUTCOME_TRY(
-            auto current, version_from_json(source.at("document"), source.at("version").get<std::uint64_t>()));
+        BOOST_OUTCOME_TRY(auto current, version_from_json(source.at("document"),
+                                                          source.at("version").get<std::uint64_t>()));
         state.current = std::make_shared<const config_version>(std::move(current));
         state.next_offset = source.at("next_offset").get<std::uint64_t>();
         state.chain = source.at("chain").get<std::uint64_t>();
--- a/src/pomeloloft/net/client.cpp
+++ b/src/pomeloloft/net/client.cpp
@@ -28,7 +28,8 @@
     if (failed == beast::error::timeout) {
         return exchange_end::timed_out;
     }
-    const bool is_protocol_error = failed.category() == http::make_error_code(http::error::bad_value).category();
+    const bool is_protocol_error =
+        failed.category() == http::make_error_code(http::error::bad_value).category();
     const bool is_cut = failed == http::error::end_of_stream || failed == http::error::partial_message;
     return is_protocol_error && !is_cut ? exchange_end::malformed : exchange_end::lost;
 }
@@ -164,7 +165,8 @@
     const time_point now = steady_clock::now();
     for (auto& [address, list] : this->idle) {
         std::erase_if(list, [this, now](const connection_ptr& held) {
-            return now - held->idle_since >= this->options.max_idle || now + expiry_margin >= held->expires_at;
+            return now - held->idle_since >= this->options.max_idle ||
+                   now + expiry_margin >= held->expires_at;
         });
     }
     std::erase_if(this->idle, [](const auto& entry) { return entry.second.empty(); });
--- a/src/pomeloloft/net/server.cpp
+++ b/src/pomeloloft/net/server.cpp
@@ -242,7 +242,7 @@
         co_return !failed && given.answer.keep_alive();
     }
     const bool written = co_await write(stream, given.answer, self.limits.write_timeout);
-    co_return written && given.answer.keep_alive();
+    co_return written&& given.answer.keep_alive();
 }
 
 } // namespace pomeloloft::net
--- a/src/pomeloloft/proxy/daemon.cpp
+++ b/src/pomeloloft/proxy/daemon.cpp
@@ -95,11 +95,12 @@
     this->log = std::make_unique<log_loop>(
         this->board, [this](const std::vector<std::string>& found) { this->control->add_bootstrap(found); });
     blackboard& b = this->board;
-    BOOST_OUTCOME_TRY(auto local_server, http_server::start(small_listener(s.local_address, "local"),
-                                                       [&b](auto& q, auto& r) { handle_local(b, q, r); }));
+    BOOST_OUTCOME_TRY(auto local_server,
+                      http_server::start(small_listener(s.local_address, "local"),
+                                         [&b](auto& q, auto& r) { handle_local(b, q, r); }));
     this->local = std::move(local_server);
     BOOST_OUTCOME_TRY(auto peer_server, http_server::start(request_listener(s, s.peer_address, "peer"),
-                                                      [&b](auto& q, auto& r) { handle_peer(b, q, r); }));
+                                                           [&b](auto& q, auto& r) { handle_peer(b, q, r); }));
     this->peer = std::move(peer_server);
     BOOST_OUTCOME_TRY(auto operator_server,
                       http_server::start(small_listener(s.operator_address, "operators"),
--- a/src/pomeloloft/proxy/log_loop.cpp
+++ b/src/pomeloloft/proxy/log_loop.cpp
@@ -132,9 +132,10 @@
 {
     ++this->board.events.log_reads;
     const bool first = this->next_announced == 0;
-    BOOST_OUTCOME_TRY(auto batch, first ? read_newest(this->board, reader_stream, reader_records_scanned)
-                                   : this->board.log.read({reader_stream, this->next_announced,
-                                                           reader_records_scanned, steady_clock::now()}));
+    BOOST_OUTCOME_TRY(auto batch, first
+                                      ? read_newest(this->board, reader_stream, reader_records_scanned)
+                                      : this->board.log.read({reader_stream, this->next_announced,
+                                                              reader_records_scanned, steady_clock::now()}));
     this->next_announced = batch.bounds.next;
     this->announcements.insert(this->announcements.end(), batch.records.begin(), batch.records.end());
     const std::size_t surplus = this->announcements.size() -
--- a/src/pomeloloft/sidecar/admission.cpp
+++ b/src/pomeloloft/sidecar/admission.cpp
@@ -26,7 +26,8 @@
     if (wait > request.max_wait) {
         return gate_verdict::refuse_full;
     }
-    const bool in_time = request.deadline == no_deadline || now + wait + view.service_time <= request.deadline;
+    const bool in_time =
+        request.deadline == no_deadline || now + wait + view.service_time <= request.deadline;
     return in_time ? gate_verdict::wait : gate_verdict::refuse_deadline;
 }
 
--- a/src/pomeloloft/sidecar/daemon.cpp
+++ b/src/pomeloloft/sidecar/daemon.cpp
@@ -271,8 +271,8 @@
         this->gate.target.closed_at = steady_clock::now() + this->shared.own.drain - drain_margin;
         this->publish();
     }
-    const bool left = this->gate.target.state == target_state::leaving &&
-                      this->gate.target.instance == reported.instance;
+    const bool left =
+        this->gate.target.state == target_state::leaving && this->gate.target.instance == reported.instance;
     if (!left) {
         co_return true;
     }
@@ -287,8 +287,8 @@
         this->gate.target.closed_at = steady_clock::now() + this->shared.own.drain - drain_margin;
         this->publish();
     }
-    const bool left = this->gate.target.state == target_state::leaving &&
-                      this->gate.target.instance.id == instance.id;
+    const bool left =
+        this->gate.target.state == target_state::leaving && this->gate.target.instance.id == instance.id;
     if (!left) {
         co_return true;
     }
--- a/src/pomeloloft/sidecar/entry.cpp
+++ b/src/pomeloloft/sidecar/entry.cpp
@@ -71,9 +71,9 @@
     net::response out = net::make_response(http::status::service_unavailable);
     constexpr double ms_per_s = 1000.0;
     std::array<char, 32> text{};
-    const auto written = std::to_chars(text.data(), text.data() + text.size(),
-                                       static_cast<double>(retry_after.count()) / ms_per_s,
-                                       std::chars_format::fixed, 3);
+    const auto written =
+        std::to_chars(text.data(), text.data() + text.size(),
+                      static_cast<double>(retry_after.count()) / ms_per_s, std::chars_format::fixed, 3);
     out.set(http::field::retry_after, std::string_view(text.data(), written.ptr - text.data()));
     return out;
 }
@@ -107,15 +107,16 @@
     const auto found = this->shared.endpoints.find(j.service);
     const std::size_t endpoints = found == this->shared.endpoints.end() ? 0 : found->second.candidates.size();
     const auto id = received[this->shared.own.headers.request_id];
-    log_change("request-unserved", {{"request", std::string_view(id.data(), id.size())},
-                                    {"route", j.route->name},
-                                    {"service", j.service},
-                                    {"last", name_of(try_outcome_names, j.state.last)},
-                                    {"arrivals", static_cast<std::uint64_t>(j.state.arrivals)},
-                                    {"redirects", static_cast<std::uint64_t>(j.state.redirects)},
-                                    {"endpoints", static_cast<std::uint64_t>(endpoints)},
-                                    {"left_ms", static_cast<std::int64_t>(remaining(j.deadline, now).count())},
-                                    {"suppressed", this->unserved_lines.take_suppressed()}});
+    log_change("request-unserved",
+               {{"request", std::string_view(id.data(), id.size())},
+                {"route", j.route->name},
+                {"service", j.service},
+                {"last", name_of(try_outcome_names, j.state.last)},
+                {"arrivals", static_cast<std::uint64_t>(j.state.arrivals)},
+                {"redirects", static_cast<std::uint64_t>(j.state.redirects)},
+                {"endpoints", static_cast<std::uint64_t>(endpoints)},
+                {"left_ms", static_cast<std::int64_t>(remaining(j.deadline, now).count())},
+                {"suppressed", this->unserved_lines.take_suppressed()}});
 }
 
 net::task<net::reply> entry_router::answer(net::request& received)
--- a/src/pomeloloft/sidecar/member_record.cpp
+++ b/src/pomeloloft/sidecar/member_record.cpp
@@ -34,8 +34,11 @@
     }
     member out;
     const std::initializer_list<std::pair<const char*, std::string*>> texts = {
-        {"node", &out.node},           {"data_centre", &out.data_centre}, {"service", &out.service},
-        {"peer", &out.peer_address}, {"instance", &out.instance}};
+        {"node", &out.node},
+        {"data_centre", &out.data_centre},
+        {"service", &out.service},
+        {"peer", &out.peer_address},
+        {"instance", &out.instance}};
     for (const auto& [field, target] : texts) {
         const auto found = in.find(field);
         if (found == in.end() || !found->is_string()) {
--- /dev/null
+++ b/src/pomeloloft/sidecar/policy_test.cpp
@@ -0,0 +1,218 @@
+#include <array>
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "pomeloloft/sidecar/admission.hpp"
+#include "pomeloloft/sidecar/choose.hpp"
+#include "pomeloloft/sidecar/retry_policy.hpp"
+
+namespace pomeloloft::sidecar {
+namespace {
+
+using std::chrono::microseconds;
+
+struct gate_row {
+    const char* name;
+    gate_view view;
+    milliseconds max_wait;
+    milliseconds left;
+    gate_verdict verdict;
+};
+
+std::ostream& operator<<(std::ostream& out, const gate_row& row)
+{
+    return out << row.name;
+}
+
+constexpr microseconds ms_60{60'000};
+
+const gate_row gate_rows[] = {
+    {"a free slot", {9, 8, 0, ms_60}, milliseconds{0}, milliseconds{500}, gate_verdict::run},
+    {"a free slot that others wait for",
+     {9, 8, 9, ms_60},
+     milliseconds{10},
+     milliseconds{500},
+     gate_verdict::refuse_full},
+    {"no slot, no patience", {9, 9, 0, ms_60}, milliseconds{0}, milliseconds{500}, gate_verdict::refuse_full},
+    {"a short wait", {9, 9, 0, ms_60}, milliseconds{20}, milliseconds{500}, gate_verdict::wait},
+    {"a wait past the deadline",
+     {9, 9, 9, ms_60},
+     milliseconds{400},
+     milliseconds{100},
+     gate_verdict::refuse_deadline},
+    {"no time left", {9, 0, 0, ms_60}, milliseconds{100}, milliseconds{0}, gate_verdict::refuse_deadline},
+};
+
+struct step_row {
+    const char* name;
+    bool idempotent;
+    std::uint32_t max_arrivals;
+    try_outcome outcome;
+    bool target_failed;
+    next_step step;
+    final_status told;
+};
+
+std::ostream& operator<<(std::ostream& out, const step_row& row)
+{
+    return out << row.name;
+}
+
+const step_row step_rows[] = {
+    {"an answer ends it", false, 2, try_outcome::answered, false, next_step::finish, final_status::not_run},
+    {"a failed run is repeated where it may be", true, 2, try_outcome::answered, true, next_step::retry,
+     final_status::not_run},
+    {"a failed run is not repeated where it may not be", false, 2, try_outcome::answered, true,
+     next_step::finish, final_status::not_run},
+    {"a lost answer is asked for again where it may be", true, 2, try_outcome::lost, false, next_step::retry,
+     final_status::lost},
+    {"a lost answer that must not be repeated is not 'not run'", false, 2, try_outcome::lost, false,
+     next_step::finish, final_status::lost},
+    {"only so many targets", true, 1, try_outcome::lost, false, next_step::finish, final_status::lost},
+    {"a target that turned it away", false, 2, try_outcome::rejected, false, next_step::retry,
+     final_status::not_run},
+    {"a busy gate", false, 1, try_outcome::refused, false, next_step::redirect, final_status::not_run},
+    {"a target that cannot be reached", false, 1, try_outcome::unavailable, false, next_step::redirect,
+     final_status::not_run},
+    {"a time-out", true, 3, try_outcome::timed_out, false, next_step::finish, final_status::timed_out},
+};
+
+/// Two endpoints; which one is chosen.
+struct choice_row {
+    const char* name;
+    bool first_own;
+    bool first_near;
+    bool second_near;
+    endpoint_load first;
+    endpoint_load second;
+    std::size_t body_bytes;
+    const char* chosen;
+};
+
+std::ostream& operator<<(std::ostream& out, const choice_row& row)
+{
+    return out << row.name;
+}
+
+endpoint_load load_of(std::uint32_t told, std::uint32_t service_us, bool avoided = false)
+{
+    endpoint_load out;
+    out.told = told;
+    out.slots = 9;
+    out.service_us = service_us;
+    out.told_at = time_point{} + std::chrono::hours(1);
+    if (avoided) {
+        out.avoid_until = out.told_at + std::chrono::hours(1);
+    }
+    return out;
+}
+
+const choice_row choice_rows[] = {
+    {"the faster target", false, true, true, load_of(3, 90'000), load_of(3, 40'000), 0, "second"},
+    {"a free one before a full one", false, true, true, load_of(20, 60'000), load_of(0, 60'000), 0, "second"},
+    {"the own one among equals", true, true, true, load_of(0, 20'000), load_of(0, 30'000), 0, "first"},
+    {"the near one for a large body", false, false, true, load_of(0, 40'000), load_of(9, 60'000), 60'000,
+     "second"},
+    {"the far one when the near one is full", false, false, true, load_of(0, 60'000), load_of(30, 60'000), 0,
+     "first"},
+    {"not one that failed", false, true, true, load_of(0, 10'000, true), load_of(9, 90'000), 0, "second"},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(sidecar_policies)
+
+BOOST_DATA_TEST_CASE(a_gate_admits_by_its_slots_and_the_senders_time, boost::unit_test::data::make(gate_rows))
+{
+    const time_point now = steady_clock::now();
+    const gate_request request{0, now + sample.left, sample.max_wait};
+    BOOST_TEST((decide_entry(sample.view, request, now) == sample.verdict));
+}
+
+BOOST_DATA_TEST_CASE(a_try_is_followed_by_what_is_safe, boost::unit_test::data::make(step_rows))
+{
+    const time_point now = steady_clock::now();
+    const time_point deadline = now + milliseconds(500);
+    journey_state state;
+    state.idempotent = sample.idempotent;
+    state.max_arrivals = sample.max_arrivals;
+    note_try(state, sample.outcome, sample.target_failed);
+    BOOST_TEST((decide_next(state, now, deadline) == sample.step));
+    BOOST_TEST((final_answer(state, now, deadline) == sample.told));
+    BOOST_TEST((decide_next(state, deadline, deadline) == next_step::finish));
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_may_have_run_once_is_never_told_not_run)
+{
+    const time_point now = steady_clock::now();
+    journey_state state;
+    state.idempotent = true;
+    state.max_arrivals = 3;
+    note_try(state, try_outcome::lost, false);
+    note_try(state, try_outcome::refused, false);
+    note_try(state, try_outcome::rejected, false);
+    BOOST_TEST((final_answer(state, now, now + milliseconds(100)) == final_status::lost));
+}
+
+BOOST_AUTO_TEST_CASE(targets_that_cannot_be_reached_are_not_tried_for_ever)
+{
+    const time_point now = steady_clock::now();
+    journey_state state;
+    std::uint32_t tries = 0;
+    do {
+        note_try(state, try_outcome::unavailable, false);
+        ++tries;
+    } while (decide_next(state, now, now + milliseconds(100)) != next_step::finish && tries < 100);
+    BOOST_TEST(tries == max_unavailable);
+}
+
+BOOST_DATA_TEST_CASE(the_endpoint_that_answers_first_is_chosen, boost::unit_test::data::make(choice_rows))
+{
+    endpoint_load first = sample.first;
+    endpoint_load second = sample.second;
+    const std::array<candidate, 2> both{candidate{"first", sample.first_own, sample.first_near, &first},
+                                        candidate{"second", false, sample.second_near, &second}};
+    constexpr std::uint64_t draws = 50;
+    for (std::uint64_t draw = 0; draw < draws; ++draw) {
+        const choice request{both, {}, sample.body_bytes, draw, first.told_at};
+        BOOST_TEST(choose(request, {})->node == sample.chosen);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(an_endpoint_that_was_tried_is_not_chosen_again)
+{
+    endpoint_load load;
+    const std::array<candidate, 1> one{candidate{"first", false, true, &load}};
+    const std::array<std::string, 1> tried{"first"};
+    BOOST_TEST(choose({one, tried, 0, 1, steady_clock::now()}, {}) == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(pauses_after_failures_grow_and_are_bounded)
+{
+    const choice_options options;
+    const time_point now = steady_clock::now();
+    endpoint_load load;
+    note_failure(load, now, options);
+    BOOST_TEST((load.avoid_until - now == options.avoid_first));
+    for (int i = 0; i < 20; ++i) {
+        note_failure(load, now, options);
+    }
+    BOOST_TEST((load.avoid_until - now == options.avoid_most));
+    note_success(load);
+    BOOST_TEST((load.avoid_until <= now));
+}
+
+BOOST_AUTO_TEST_CASE(refused_callers_return_spread_around_the_expected_wait)
+{
+    constexpr std::uint64_t draws = 200;
+    for (std::uint64_t draw = 0; draw < draws; ++draw) {
+        const milliseconds told = retry_after(milliseconds(100), draw);
+        BOOST_TEST((told >= milliseconds(50) && told < milliseconds(150)));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace pomeloloft::sidecar
--- a/src/pomeloloft/sidecar/target.cpp
+++ b/src/pomeloloft/sidecar/target.cpp
@@ -65,7 +65,8 @@
     if (is_earlier_start(target, report.instance) || has_left(target, report.instance)) {
         return report_effect::stale;
     }
-    const bool same = target.state != target_state::unknown && is_same_start(target.instance, report.instance);
+    const bool same =
+        target.state != target_state::unknown && is_same_start(target.instance, report.instance);
     if (same && report.sequence <= target.sequence) {
         return report_effect::stale;
     }
--- /dev/null
+++ b/src/pomeloloft/sidecar/target_test.cpp
@@ -0,0 +1,128 @@
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "pomeloloft/sidecar/target.hpp"
+
+namespace pomeloloft::sidecar {
+namespace {
+
+target_report make_report(const char* id, std::int64_t started, std::uint64_t sequence, bool draining = false)
+{
+    target_report out;
+    out.instance = {id, started};
+    out.service = "register";
+    out.slots = 9;
+    out.sequence = sequence;
+    out.draining = draining;
+    return out;
+}
+
+/// A report that comes after `a` started at 100 and sent report 5.
+struct late_row {
+    const char* name;
+    target_report report;
+    report_effect effect;
+    target_state state;
+    const char* instance;
+};
+
+std::ostream& operator<<(std::ostream& out, const late_row& row)
+{
+    return out << row.name;
+}
+
+const late_row late_rows[] = {
+    {"the next report", make_report("a", 100, 6), report_effect::refreshed, target_state::serving, "a"},
+    {"a late report", make_report("a", 100, 4), report_effect::stale, target_state::serving, "a"},
+    {"the same report", make_report("a", 100, 5), report_effect::stale, target_state::serving, "a"},
+    {"a late report that leaves", make_report("a", 100, 4, true), report_effect::stale, target_state::serving,
+     "a"},
+    {"a report of an earlier start", make_report("z", 50, 9), report_effect::stale, target_state::serving,
+     "a"},
+    {"a new start", make_report("b", 200, 1), report_effect::started, target_state::serving, "b"},
+    {"the same id started again", make_report("a", 200, 1), report_effect::started, target_state::serving,
+     "a"},
+    {"a report that leaves", make_report("a", 100, 6, true), report_effect::leaving, target_state::leaving,
+     "a"},
+};
+
+target_record serving_target()
+{
+    target_record out;
+    apply_report(out, make_report("a", 100, 5), steady_clock::now());
+    return out;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(target_records)
+
+BOOST_DATA_TEST_CASE(reports_change_what_they_may, boost::unit_test::data::make(late_rows))
+{
+    target_record target = serving_target();
+    BOOST_TEST((apply_report(target, sample.report, steady_clock::now()) == sample.effect));
+    BOOST_TEST((target.state == sample.state));
+    BOOST_TEST(target.instance.id == sample.instance);
+}
+
+BOOST_AUTO_TEST_CASE(a_start_that_left_does_not_come_back)
+{
+    target_record target = serving_target();
+    apply_report(target, make_report("a", 100, 6, true), steady_clock::now());
+    BOOST_TEST((apply_report(target, make_report("a", 100, 7), steady_clock::now()) == report_effect::stale));
+    BOOST_TEST((target.state == target_state::leaving));
+}
+
+BOOST_AUTO_TEST_CASE(a_leave_from_before_a_restart_binds_reports_and_health_checks)
+{
+    target_record target;
+    note_left(target, {"a", 100});
+    BOOST_TEST((apply_report(target, make_report("a", 100, 7), steady_clock::now()) == report_effect::stale));
+    BOOST_TEST(!apply_health(target, "a", 4));
+    BOOST_TEST(
+        (apply_report(target, make_report("a", 300, 1), steady_clock::now()) == report_effect::started));
+}
+
+BOOST_AUTO_TEST_CASE(a_leave_learned_after_the_health_check_still_binds)
+{
+    target_record target;
+    BOOST_TEST(apply_health(target, "a", 4));
+    note_left(target, {"a", 100});
+    BOOST_TEST((target.state == target_state::leaving));
+}
+
+BOOST_AUTO_TEST_CASE(a_report_confirms_a_target_found_by_its_health_check)
+{
+    target_record target;
+    BOOST_TEST(apply_health(target, "a", 4));
+    BOOST_TEST(
+        (apply_report(target, make_report("a", 100, 7), steady_clock::now()) == report_effect::refreshed));
+    BOOST_TEST(target.slots == 9U);
+    BOOST_TEST(target.instance.started_at_ms == 100);
+}
+
+BOOST_AUTO_TEST_CASE(a_withdrawal_of_another_start_changes_nothing)
+{
+    target_record target = serving_target();
+    BOOST_TEST((apply_withdrawal(target, {"z", 0}) == report_effect::stale));
+    BOOST_TEST((apply_withdrawal(target, {"a", 50}) == report_effect::stale));
+    BOOST_TEST((target.state == target_state::serving));
+    BOOST_TEST((apply_withdrawal(target, {"a", 0}) == report_effect::leaving));
+}
+
+BOOST_AUTO_TEST_CASE(nothing_is_dispatched_to_a_leaving_target_once_it_is_closed)
+{
+    const time_point now = steady_clock::now();
+    target_record target = serving_target();
+    BOOST_TEST(may_dispatch(target, now));
+    apply_report(target, make_report("a", 100, 6, true), now);
+    target.closed_at = now + milliseconds(100);
+    BOOST_TEST(may_dispatch(target, now));
+    BOOST_TEST(!may_dispatch(target, now + milliseconds(100)));
+    BOOST_TEST(!may_dispatch(target_record{}, now));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace pomeloloft::sidecar
--- /dev/null
+++ b/test/integration/sidecar_fleet.cpp
@@ -0,0 +1,235 @@
+#include "sidecar_fleet.hpp"
+
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <unistd.h>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "pomeloloft/sidecar/peer_headers.hpp"
+
+namespace pomeloloft::testing {
+namespace {
+
+constexpr milliseconds step{2};
+constexpr milliseconds call_margin{1500};
+/// Time in which sidecars hear of each other.
+constexpr milliseconds news_time{200};
+
+/// A free port; another process may take it before it is used, which shows as a failed start.
+std::string free_address(net::event_loop& loop)
+{
+    net::tcp_acceptor probe(loop, net::tcp::endpoint(net::asio::ip::make_address("127.0.0.1"), 0));
+    return "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
+}
+
+net::task<void> send_call(net::event_loop& loop, std::string address, caller_request request,
+                          std::shared_ptr<caller_answer> out, std::shared_ptr<bool> done)
+{
+    const time_point started = steady_clock::now();
+    net::client_pool pool(loop, {});
+    const auto endpoint = net::parse_endpoint(address, "caller").value();
+    const time_point deadline = started + request.time_left + call_margin;
+    auto connected = co_await pool.connect(endpoint, deadline);
+    if (connected) {
+        net::request sent{net::http::string_to_verb(request.method), request.path, 11};
+        sent.set(net::http::field::host, "shop.example");
+        sent.set("X-Request-Id", request.id);
+        sent.set("X-Deadline-Ms", std::to_string(request.time_left.count()));
+        sent.body() = request.body;
+        sent.prepare_payload();
+        net::exchange_options options;
+        options.deadline = deadline;
+        options.id_header = "X-Request-Id";
+        net::exchange_result ended = co_await net::exchange(*connected.value(), sent, options);
+        out->end = ended.end;
+        out->status =
+            ended.end == net::exchange_end::answered ? static_cast<int>(ended.answer.result_int()) : 0;
+        out->body = ended.answer.body();
+        out->retry_after = std::string(ended.answer[net::http::field::retry_after]);
+    }
+    out->took = std::chrono::duration_cast<milliseconds>(steady_clock::now() - started);
+    *done = true;
+}
+
+net::task<void> send_plain(net::event_loop& loop, std::string address, net::request sent,
+                           std::shared_ptr<int> status, std::shared_ptr<bool> done)
+{
+    net::client_pool pool(loop, {});
+    const auto endpoint = net::parse_endpoint(address, "test").value();
+    net::exchange_options options;
+    options.deadline = steady_clock::now() + call_margin;
+    auto connected = co_await pool.connect(endpoint, options.deadline);
+    if (connected) {
+        const net::exchange_result ended = co_await net::exchange(*connected.value(), sent, options);
+        *status = ended.end == net::exchange_end::answered ? static_cast<int>(ended.answer.result_int()) : 0;
+    }
+    *done = true;
+}
+
+} // namespace
+
+sidecar_fleet::sidecar_fleet(std::size_t size)
+    : loop(1), store(this->loop), nodes(size),
+      directory(std::filesystem::temp_directory_path() / ("sidecars-" + std::to_string(::getpid())))
+{
+    std::filesystem::create_directories(this->directory);
+    this->configure(1);
+    for (std::size_t i = 0; i < size; ++i) {
+        sidecar_node& node = this->nodes[i];
+        node.target = std::make_unique<platform_target>(this->loop, "i-" + std::to_string(i));
+        node.own.node = "n" + std::to_string(i);
+        node.own.outbound_address = free_address(this->loop);
+        node.own.peer_address = free_address(this->loop);
+        node.own.ready_address = free_address(this->loop);
+        node.own.control_address = free_address(this->loop);
+        this->start(i);
+    }
+    for (std::size_t i = 0; i < size; ++i) {
+        this->run_until([this, i] { return this->heartbeat(i) == 200; });
+        this->run_until([this, i] { return this->readiness(i) == 200; });
+    }
+    this->run_for(news_time);
+}
+
+sidecar_fleet::~sidecar_fleet()
+{
+    for (sidecar_node& node : this->nodes) {
+        node.process.reset();
+    }
+    std::error_code ignored;
+    std::filesystem::remove_all(this->directory, ignored);
+}
+
+void sidecar_fleet::start(std::size_t node)
+{
+    sidecar_node& at = this->nodes[node];
+    const std::string path = this->directory + "/" + at.own.node;
+    std::ofstream file(path + ".env");
+    file << "POMELOLOFT_NODE=" << at.own.node << "\nPOMELOLOFT_DATA_CENTRE=dc1\nPOMELOLOFT_SERVICE=register\n"
+         << "POMELOLOFT_TARGET=" << at.target->address()
+         << "\nPOMELOLOFT_OUTBOUND=" << at.own.outbound_address << "\nPOMELOLOFT_PEER=" << at.own.peer_address
+         << "\nPOMELOLOFT_READY=" << at.own.ready_address << "\nPOMELOLOFT_CONTROL=" << at.own.control_address
+         << "\nPOMELOLOFT_STORE=" << this->store.address()
+         << "\nPOMELOLOFT_MEMORY_MB=260\nPOMELOLOFT_DRAIN_MS=1000\nPOMELOLOFT_GRACE_S=6\n"
+         << "POMELOLOFT_RETRY_RATIO=0.2\nPOMELOLOFT_RETRY_RESERVE=62\nPOMELOLOFT_RETRY_WINDOW_S=10\n"
+         << "POMELOLOFT_STORE_RECORD_BYTES=262144\n";
+    file.close();
+    at.process = std::make_unique<child_process>(
+        POMELOLOFT_BINARY, std::vector<std::string>{"sidecar", path + ".env"}, path + ".log");
+}
+
+std::string sidecar_fleet::log_of(std::size_t node) const
+{
+    std::ifstream file(this->directory + "/" + this->nodes[node].own.node + ".log");
+    return {std::istreambuf_iterator<char>(file), {}};
+}
+
+void sidecar_fleet::configure(std::uint64_t version, const std::string& more)
+{
+    const std::string head = R"({"Version":)" + std::to_string(version);
+    const std::string routes =
+        R"(,"Routes":[{"Name":"read","Host":"shop.example","PathPrefix":"/read/","RouteType":"idempotent",)"
+        R"("TimeoutMs":1000,"TargetLatencyMs":500,"Priority":2,"Service":"register","MaxAttempts":2},)"
+        R"({"Name":"write","Host":"shop.example","PathPrefix":"/write/","RouteType":"non_idempotent",)"
+        R"("TimeoutMs":1000,"TargetLatencyMs":500,"Priority":1,"Service":"register","MaxAttempts":2})";
+    const std::string services = R"(],"Services":[{"Name":"register","HealthPath":"/health"}]})";
+    this->store.put("keyed.op", "config", head + routes + more + services);
+}
+
+bool sidecar_fleet::run_until(const std::function<bool()>& condition, milliseconds limit)
+{
+    const time_point until = steady_clock::now() + limit;
+    while (!condition()) {
+        if (steady_clock::now() >= until) {
+            return false;
+        }
+        this->run_for(step);
+    }
+    return true;
+}
+
+void sidecar_fleet::run_for(milliseconds duration)
+{
+    if (this->loop.stopped()) {
+        this->loop.restart();
+    }
+    this->loop.run_for(duration);
+}
+
+caller_answer sidecar_fleet::call(std::size_t node, caller_request request)
+{
+    return this->call_all(node, {std::move(request)}).front();
+}
+
+std::vector<caller_answer> sidecar_fleet::call_all(std::size_t node,
+                                                   const std::vector<caller_request>& requests)
+{
+    std::vector<std::shared_ptr<caller_answer>> answers;
+    std::vector<std::shared_ptr<bool>> done;
+    for (const caller_request& request : requests) {
+        answers.push_back(std::make_shared<caller_answer>());
+        done.push_back(std::make_shared<bool>(false));
+        net::asio::co_spawn(this->loop,
+                            send_call(this->loop, this->nodes[node].own.outbound_address, request,
+                                      answers.back(), done.back()),
+                            net::asio::detached);
+    }
+    for (const auto& flag : done) {
+        this->run_until([&flag] { return *flag; }, milliseconds(10'000));
+    }
+    std::vector<caller_answer> out;
+    for (const auto& answer : answers) {
+        out.push_back(*answer);
+    }
+    return out;
+}
+
+int sidecar_fleet::status_of(const std::string& address, net::request sent)
+{
+    const auto status = std::make_shared<int>(0);
+    const auto done = std::make_shared<bool>(false);
+    net::asio::co_spawn(this->loop, send_plain(this->loop, address, std::move(sent), status, done),
+                        net::asio::detached);
+    this->run_until([&done] { return *done; });
+    return *status;
+}
+
+int sidecar_fleet::post_control(std::size_t node, const std::string& path, const std::string& body)
+{
+    net::request sent{net::http::verb::post, path, 11};
+    sent.body() = body;
+    sent.prepare_payload();
+    return this->status_of(this->nodes[node].own.control_address, std::move(sent));
+}
+
+int sidecar_fleet::fence(std::size_t node, const std::string& process)
+{
+    net::request sent{net::http::verb::post, sidecar::peer_header::fence_path, 11};
+    sent.set(sidecar::peer_header::attempt, "attempt-1");
+    sent.set(sidecar::peer_header::process, process);
+    sent.prepare_payload();
+    return this->status_of(this->nodes[node].own.peer_address, std::move(sent));
+}
+
+int sidecar_fleet::heartbeat(std::size_t node, const std::string& state)
+{
+    sidecar_node& at = this->nodes[node];
+    const std::string body = R"({"Address":"x","born":)" + std::to_string(at.target_started_at_ms) +
+                             R"(,"Info":{"Service":"register","Version":"v1","Zone":"dc1","Slots":4},)"
+                             R"("Status":{"State":")" +
+                             state + R"(","Seq":)" + std::to_string(++at.heartbeats) +
+                             R"(,"ColdRemainingMs":0}})";
+    return this->post_control(node, "/api/instances/" + at.target->instance + "/heartbeat", body);
+}
+
+int sidecar_fleet::readiness(std::size_t node)
+{
+    net::request sent{net::http::verb::get, "/api/ready", 11};
+    return this->status_of(this->nodes[node].own.ready_address, std::move(sent));
+}
+
+} // namespace pomeloloft::testing
--- /dev/null
+++ b/test/integration/sidecar_test.cpp
@@ -0,0 +1,305 @@
+#define BOOST_TEST_MODULE sidecar
+#include <algorithm>
+#include <csignal>
+#include <set>
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "pomeloloft/sidecar/member_record.hpp"
+#include "sidecar_fleet.hpp"
+
+namespace pomeloloft::testing {
+namespace {
+
+caller_request read_request(const std::string& id)
+{
+    caller_request out;
+    out.id = id;
+    return out;
+}
+
+caller_request write_request(const std::string& id)
+{
+    caller_request out;
+    out.method = "POST";
+    out.path = "/write/1";
+    out.id = id;
+    out.body = "an order";
+    return out;
+}
+
+/// What callers get from the only target in each of its moods. Status 0: no whole answer.
+struct mood_row {
+    target_mode mode;
+    const char* name;
+    int read_status;
+    int write_status;
+    int write_runs;
+};
+
+std::ostream& operator<<(std::ostream& out, const mood_row& row)
+{
+    return out << row.name;
+}
+
+const mood_row mood_rows[] = {
+    {target_mode::answers, "answers", 200, 200, 1},
+    {target_mode::fails, "fails", 500, 500, 1},
+    {target_mode::sheds, "sheds", 503, 503, 0},
+    {target_mode::breaks_off, "breaks off", 502, 502, 1},
+    {target_mode::stays_silent, "stays silent", 504, 504, 1},
+    {target_mode::cuts_body, "cuts the body", 502, 502, 1},
+    {target_mode::unsigned_answer, "leaves the signature out", 502, 502, 1},
+    {target_mode::stale_answer_first, "sends a stale answer first", 200, 200, 1},
+    {target_mode::extra_answer, "sends an extra answer", 200, 200, 1},
+    {target_mode::unframed, "sends a body without length", 200, 200, 1},
+    {target_mode::garbage, "sends garbage", 502, 502, 1},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(sidecars)
+
+BOOST_DATA_TEST_CASE(callers_get_the_whole_answer_or_a_true_failure, boost::unit_test::data::make(mood_rows))
+{
+    sidecar_fleet fleet(1);
+    fleet.nodes[0].target->mode = sample.mode;
+    for (int round = 0; round < 2; ++round) {
+        const std::string suffix = std::to_string(round);
+        const caller_answer read = fleet.call(0, read_request("r" + suffix));
+        BOOST_TEST(read.status == sample.read_status);
+        BOOST_TEST((read.status != 200 || read.body == "by i-0"), read.body);
+        // A target that cannot be trusted with the connection is left alone for a moment.
+        fleet.run_for(milliseconds(350));
+        const caller_answer write = fleet.call(0, write_request("w" + suffix));
+        BOOST_TEST(write.status == sample.write_status);
+        BOOST_TEST(fleet.nodes[0].target->runs_of("w" + suffix) == sample.write_runs);
+        fleet.run_for(milliseconds(350));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_large_body_that_is_answered_early_spoils_no_later_request)
+{
+    sidecar_fleet fleet(1);
+    caller_request large = write_request("large");
+    large.body.assign(400'000, 'x');
+    fleet.nodes[0].target->mode = target_mode::early_answer;
+    BOOST_TEST(fleet.call(0, large).status == 200);
+    fleet.nodes[0].target->mode = target_mode::answers;
+    BOOST_TEST(fleet.call(0, read_request("next")).body == "by i-0");
+    large.id = "large-2";
+    BOOST_TEST(fleet.call(0, large).status == 200);
+    BOOST_TEST(fleet.nodes[0].target->runs_of("large-2") == 1);
+}
+
+BOOST_AUTO_TEST_CASE(targets_never_run_more_than_their_slots_and_slots_come_back)
+{
+    sidecar_fleet fleet(2);
+    for (sidecar_node& node : fleet.nodes) {
+        node.target->work = milliseconds(40);
+    }
+    for (int round = 0; round < 3; ++round) {
+        std::vector<caller_request> burst;
+        for (int i = 0; i < 24; ++i) {
+            burst.push_back(read_request("b" + std::to_string(round) + "-" + std::to_string(i)));
+        }
+        const auto answers = fleet.call_all(0, burst);
+        const auto served = std::count_if(answers.begin(), answers.end(),
+                                          [](const caller_answer& a) { return a.status == 200; });
+        const bool all_told = std::all_of(answers.begin(), answers.end(), [](const caller_answer& a) {
+            return a.status == 200 || (a.status == 503 && !a.retry_after.empty());
+        });
+        // Eight slots, 40 ms a run, half a second in which answers are wanted.
+        BOOST_TEST(served >= 20);
+        BOOST_TEST(all_told);
+    }
+    for (const sidecar_node& node : fleet.nodes) {
+        BOOST_TEST(node.target->most_running <= 4);
+        BOOST_TEST(node.target->runs() > 0);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(headers_are_set_and_inner_ones_do_not_leak)
+{
+    sidecar_fleet fleet(2);
+    fleet.nodes[0].target->mode = target_mode::answers;
+    for (int i = 0; i < 10; ++i) {
+        fleet.call(0, read_request("h" + std::to_string(i)));
+    }
+    for (const sidecar_node& node : fleet.nodes) {
+        for (const std::string& head : node.target->heads) {
+            BOOST_TEST(head.find("X-Caller-Service: register\r\n") != std::string::npos);
+            BOOST_TEST(head.find("X-Expected-Instance: " + node.target->instance) != std::string::npos);
+            BOOST_TEST(head.find("X-Deadline-Ms: ") != std::string::npos);
+            BOOST_TEST(head.find("x-pomeloloft") == std::string::npos);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_draining_target_gets_nothing_once_its_time_is_over_and_restarts_do_not_forget)
+{
+    sidecar_fleet fleet(2);
+    BOOST_TEST(fleet.heartbeat(1, "draining") == 200);
+    BOOST_TEST(fleet.store.newest("keyed.pomeloloft", "left/n1").find("i-1") != std::string::npos);
+    fleet.run_for(milliseconds(1000));
+    const int before = fleet.nodes[1].target->runs();
+    for (int i = 0; i < 10; ++i) {
+        BOOST_TEST(fleet.call(0, read_request("d" + std::to_string(i))).status == 200);
+    }
+    BOOST_TEST(fleet.nodes[1].target->runs() == before);
+    fleet.nodes[1].process->kill();
+    fleet.start(1);
+    fleet.run_until([&fleet] { return fleet.readiness(1) == 200; });
+    fleet.heartbeat(1);
+    for (int i = 0; i < 10; ++i) {
+        BOOST_TEST(fleet.call(1, read_request("e" + std::to_string(i))).status == 200);
+    }
+    BOOST_TEST(fleet.nodes[1].target->runs() == before);
+}
+
+BOOST_AUTO_TEST_CASE(a_restarted_sidecar_finds_its_target_by_a_health_check)
+{
+    sidecar_fleet fleet(1);
+    fleet.nodes[0].process->kill();
+    fleet.start(0);
+    BOOST_TEST(fleet.run_until([&fleet] { return fleet.readiness(0) == 200; }));
+    BOOST_TEST(fleet.run_until([&fleet] { return fleet.call(0, read_request("again")).status == 200; }));
+}
+
+BOOST_AUTO_TEST_CASE(a_leave_is_acknowledged_while_the_store_is_down_if_a_peer_knows_it)
+{
+    sidecar_fleet fleet(2);
+    fleet.run_for(milliseconds(1600));
+    fleet.store.mode = store_mode::busy;
+    BOOST_TEST(fleet.heartbeat(1, "draining") == 200);
+    fleet.nodes[1].process->kill();
+    fleet.start(1);
+    fleet.store.mode = store_mode::healthy;
+    fleet.run_until([&fleet] { return fleet.readiness(1) == 200; });
+    fleet.run_for(milliseconds(1700));
+    const int before = fleet.nodes[1].target->runs();
+    fleet.heartbeat(1);
+    for (int i = 0; i < 10; ++i) {
+        fleet.call(1, read_request("f" + std::to_string(i)));
+    }
+    BOOST_TEST(fleet.nodes[1].target->runs() == before);
+}
+
+BOOST_AUTO_TEST_CASE(a_new_configuration_is_in_force_on_all_and_a_faulty_one_on_none)
+{
+    sidecar_fleet fleet(2);
+    caller_request added = read_request("added");
+    added.path = "/added/1";
+    BOOST_TEST(fleet.call(1, added).status == 404);
+    const std::string route = R"(,{"Name":"added","Host":"shop.example","PathPrefix":"/added/",)"
+                              R"("RouteType":"idempotent","TimeoutMs":500,"Service":"register"})";
+    fleet.configure(2, route);
+    BOOST_TEST(fleet.run_until([&] { return fleet.call(0, added).status == 200; }, milliseconds(2000)));
+    BOOST_TEST(fleet.run_until([&] { return fleet.call(1, added).status == 200; }, milliseconds(2000)));
+    fleet.store.put("keyed.op", "config",
+                    R"({"Version":3,"Routes":[{"Host":"shop.example"}],"Services":[]})");
+    fleet.configure(1);
+    fleet.run_for(milliseconds(1000));
+    BOOST_TEST(fleet.call(0, added).status == 200);
+    fleet.store.compact("keyed.op");
+    fleet.configure(9);
+    BOOST_TEST(fleet.run_until([&] { return fleet.call(0, added).status == 404; }, milliseconds(3000)));
+}
+
+BOOST_AUTO_TEST_CASE(a_sidecar_without_a_configuration_is_not_ready_and_refuses)
+{
+    sidecar_fleet fleet(2);
+    fleet.nodes[1].process->kill();
+    fleet.store.mode = store_mode::busy;
+    // Without peers that know it, it has nowhere to learn a configuration from.
+    fleet.nodes[0].process->kill();
+    fleet.start(1);
+    fleet.run_for(milliseconds(500));
+    BOOST_TEST(fleet.readiness(1) == 503);
+    const caller_answer answer = fleet.call(1, read_request("early"));
+    BOOST_TEST(answer.status == 503);
+    BOOST_TEST(!answer.retry_after.empty());
+    fleet.store.mode = store_mode::healthy;
+    BOOST_TEST(fleet.run_until([&] { return fleet.readiness(1) == 200; }, milliseconds(4000)));
+}
+
+BOOST_AUTO_TEST_CASE(a_restarted_sidecar_learns_the_configuration_from_its_peers_while_the_store_is_down)
+{
+    sidecar_fleet fleet(3);
+    fleet.run_for(milliseconds(1000));
+    fleet.store.mode = store_mode::reset;
+    fleet.nodes[1].process->kill();
+    fleet.start(1);
+    BOOST_TEST(fleet.run_until([&] { return fleet.readiness(1) == 200; }, milliseconds(6000)));
+    BOOST_TEST(fleet.run_until([&] { return fleet.call(1, read_request("x")).status == 200; }));
+}
+
+BOOST_AUTO_TEST_CASE(a_planned_stop_under_steady_traffic_cuts_no_request_and_ends_in_time)
+{
+    sidecar_fleet fleet(2);
+    for (sidecar_node& node : fleet.nodes) {
+        node.target->work = milliseconds(20);
+    }
+    fleet.nodes[0].process->signal(SIGTERM);
+    const time_point begun = steady_clock::now();
+    int sent = 0;
+    int cut = 0;
+    while (fleet.nodes[0].process->running() && steady_clock::now() - begun < milliseconds(7000)) {
+        const caller_answer answer = fleet.call(0, read_request("s" + std::to_string(sent++)));
+        // A connection that is refused because the listener is gone carries no request.
+        cut += answer.end != net::exchange_end::answered && fleet.nodes[0].process->running() ? 1 : 0;
+    }
+    const auto took = std::chrono::duration_cast<milliseconds>(steady_clock::now() - begun);
+    BOOST_TEST(sent > 20);
+    BOOST_TEST(cut <= 1);
+    BOOST_TEST(took.count() < 4000);
+    BOOST_TEST(fleet.log_of(0).find("unfinished=0") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(foreign_heartbeats_name_no_target_and_the_others_hold)
+{
+    sidecar_fleet fleet(1);
+    for (const char* body : {"", "{", "[]", R"({"Info":7})", R"({"born":"x","Info":{},"Status":{}})"}) {
+        BOOST_TEST(fleet.post_control(0, "/api/instances/i-x/heartbeat", body) == 400);
+    }
+    BOOST_TEST(fleet.post_control(0, "/api/elsewhere", "{}") == 404);
+    BOOST_TEST(fleet.call(0, read_request("still")).body == "by i-0");
+}
+
+BOOST_AUTO_TEST_CASE(only_the_process_that_is_meant_answers_for_an_attempt)
+{
+    sidecar_fleet fleet(1);
+    const auto entry = sidecar::decode_member(fleet.store.newest("keyed.pomeloloft", "member/n0"));
+    BOOST_REQUIRE(entry);
+    const std::string process = "n0 " + std::to_string(entry.value().incarnation);
+    BOOST_TEST(fleet.fence(0, process) == 200);
+    BOOST_TEST(fleet.fence(0, "n0 1") == 421);
+    BOOST_TEST(fleet.fence(0, "n7 " + std::to_string(entry.value().incarnation)) == 421);
+    BOOST_TEST(fleet.fence(0, "") == 421);
+}
+
+BOOST_AUTO_TEST_CASE(work_for_a_caller_that_left_is_given_up)
+{
+    sidecar_fleet fleet(1);
+    fleet.nodes[0].target->work = milliseconds(30);
+    fleet.nodes[0].target->mode = target_mode::stays_silent;
+    std::vector<caller_request> leaving;
+    for (int i = 0; i < 4; ++i) {
+        caller_request r = read_request("l" + std::to_string(i));
+        r.time_left = milliseconds(300);
+        leaving.push_back(r);
+    }
+    for (const caller_answer& answer : fleet.call_all(0, leaving)) {
+        BOOST_TEST(answer.status == 504);
+        BOOST_TEST(answer.took.count() < 800);
+    }
+    // All four slots are free again.
+    fleet.nodes[0].target->mode = target_mode::answers;
+    BOOST_TEST(fleet.call(0, read_request("after")).status == 200);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace pomeloloft::testing
--- a/test/stand_ins/log_server.cpp
+++ b/test/stand_ins/log_server.cpp
@@ -45,7 +45,8 @@
     listener.setting = "address";
     listener.max_threads = 512;
     log_server& self = *log;
-    BOOST_OUTCOME_TRY(auto server, http_server::start(listener, [&self](auto& q, auto& r) { self.handle(q, r); }));
+    BOOST_OUTCOME_TRY(auto server,
+                      http_server::start(listener, [&self](auto& q, auto& r) { self.handle(q, r); }));
     log->server = std::move(server);
     return log;
 }
--- /dev/null
+++ b/test/stand_ins/platform_store.cpp
@@ -0,0 +1,209 @@
+#include "platform_store.hpp"
+
+#include <array>
+#include <sstream>
+#include <stdexcept>
+
+#include <Poco/Base64Encoder.h>
+#include <Poco/URI.h>
+#include <boost/endian/conversion.hpp>
+#include <nlohmann/json.hpp>
+
+#include "pomeloloft/net/timer.hpp"
+
+namespace pomeloloft {
+namespace {
+
+using net::http::status;
+using nlohmann::json;
+
+constexpr milliseconds poll_interval{5};
+
+std::string encode_base64(const std::string& text)
+{
+    std::ostringstream out;
+    Poco::Base64Encoder encoder(out);
+    encoder.rdbuf()->setLineLength(0);
+    encoder << text;
+    encoder.close();
+    return out.str();
+}
+
+std::map<std::string, std::string> query_of(const Poco::URI& uri)
+{
+    std::map<std::string, std::string> out;
+    for (const auto& [name, value] : uri.getQueryParameters()) {
+        out[name] = value;
+    }
+    return out;
+}
+
+std::uint64_t number_in(const std::map<std::string, std::string>& query, const char* name)
+{
+    const auto found = query.find(name);
+    return found == query.end() ? 0 : std::stoull(found->second);
+}
+
+std::string big_endian_64(std::uint64_t value)
+{
+    std::array<unsigned char, 8> bytes{};
+    boost::endian::store_big_u64(bytes.data(), value);
+    return {bytes.begin(), bytes.end()};
+}
+
+std::string big_endian_32(std::uint32_t value)
+{
+    std::array<unsigned char, 4> bytes{};
+    boost::endian::store_big_u32(bytes.data(), value);
+    return {bytes.begin(), bytes.end()};
+}
+
+net::reply json_reply(status code, const json& body)
+{
+    return {net::make_response(code, body.dump(), "application/json")};
+}
+
+net::reply abandoned()
+{
+    net::reply out;
+    out.abandon = true;
+    return out;
+}
+
+} // namespace
+
+platform_store::platform_store(net::event_loop& where)
+{
+    auto started = net::server::start(where, "127.0.0.1:0", "store",
+                                      [this](net::request& received) { return this->answer(received); });
+    if (!started) {
+        throw std::runtime_error(to_string(started.error()));
+    }
+    this->listener = started.value();
+}
+
+std::string platform_store::address() const
+{
+    return "127.0.0.1:" + std::to_string(this->listener->port());
+}
+
+void platform_store::add(topic_log& log, record added)
+{
+    if (added.value.empty()) {
+        log.newest.erase(added.key);
+    } else {
+        log.newest[added.key] = added;
+    }
+    log.records.push_back(std::move(added));
+}
+
+void platform_store::put(const std::string& topic, const std::string& key, const std::string& value)
+{
+    this->add(this->topics[topic], {key, value});
+}
+
+void platform_store::compact(const std::string& topic)
+{
+    topic_log& log = this->topics[topic];
+    log.first += log.records.size();
+    log.records.clear();
+}
+
+std::string platform_store::newest(const std::string& topic, const std::string& key) const
+{
+    const auto log = this->topics.find(topic);
+    if (log == this->topics.end()) {
+        return {};
+    }
+    const auto found = log->second.newest.find(key);
+    return found == log->second.newest.end() ? std::string{} : found->second.value;
+}
+
+net::task<net::reply> platform_store::answer(net::request& received)
+{
+    ++this->calls;
+    if (this->mode == store_mode::busy) {
+        co_return net::reply(json_reply(status::service_unavailable, json::object()));
+    }
+    if (this->mode == store_mode::reset) {
+        co_return abandoned();
+    }
+    while (this->mode == store_mode::silent) {
+        co_await net::sleep_for(poll_interval);
+    }
+    const Poco::URI uri(std::string(received.target().data(), received.target().size()));
+    const auto query = query_of(uri);
+    net::reply out;
+    if (uri.getPath() == "/api/log-append") {
+        out = this->append(query, received.body());
+    } else if (uri.getPath() == "/api/log-read") {
+        out = co_await this->read(query);
+    } else {
+        out = this->read_newest(query);
+    }
+    if (this->mode == store_mode::loses_answers) {
+        out = abandoned();
+    }
+    co_return out;
+}
+
+net::reply platform_store::append(const std::map<std::string, std::string>& query, const std::string& body)
+{
+    topic_log& log = this->topics[query.at("Topic")];
+    const auto producer = query.find("Producer");
+    if (producer != query.end()) {
+        std::uint64_t& seen = log.epochs[producer->second];
+        const std::uint64_t epoch = number_in(query, "epoch");
+        if (epoch < seen) {
+            return json_reply(status::conflict, {{"why", "fenced"}});
+        }
+        seen = epoch;
+    }
+    const std::uint64_t offset = log.first + log.records.size();
+    std::string_view left = body;
+    while (left.size() >= 4) {
+        const auto length = boost::endian::load_big_u32(reinterpret_cast<const unsigned char*>(left.data()));
+        const std::string_view text = left.substr(4, length);
+        left.remove_prefix(4 + length);
+        const std::size_t key_bytes = static_cast<unsigned char>(text.front());
+        this->add(log, {std::string(text.substr(1, key_bytes)), std::string(text.substr(1 + key_bytes))});
+    }
+    return json_reply(status::ok, {{"Offset", offset}, {"End", log.first + log.records.size()}});
+}
+
+net::task<net::reply> platform_store::read(std::map<std::string, std::string> query)
+{
+    const std::string topic = query.at("Topic");
+    const std::uint64_t from = number_in(query, "From");
+    const time_point until = steady_clock::now() + milliseconds(number_in(query, "WaitMs"));
+    if (from < this->topics[topic].first) {
+        co_return net::reply(json_reply(status::gone, {{"First", this->topics[topic].first}}));
+    }
+    while (this->topics[topic].first + this->topics[topic].records.size() <= from &&
+           steady_clock::now() < until) {
+        co_await net::sleep_for(poll_interval);
+    }
+    const topic_log& log = this->topics[topic];
+    std::string out = big_endian_64(log.first + log.records.size()) + big_endian_64(log.first);
+    for (std::size_t i = from - std::min(from, log.first); i < log.records.size(); ++i) {
+        const record& r = log.records[i];
+        out += big_endian_32(static_cast<std::uint32_t>(1 + r.key.size() + r.value.size()));
+        out += static_cast<char>(r.key.size());
+        out += r.key;
+        out += r.value;
+    }
+    co_return net::reply(net::reply{net::make_response(status::ok, std::move(out))});
+}
+
+net::reply platform_store::read_newest(const std::map<std::string, std::string>& query)
+{
+    const topic_log& log = this->topics[query.at("Topic")];
+    json items = json::array();
+    for (const auto& [key, r] : log.newest) {
+        items.push_back({{"Key", key}, {"Value", encode_base64(r.value)}, {"Offset", 0}});
+    }
+    return json_reply(status::ok,
+                      {{"items", items}, {"HasMore", false}, {"End", log.first + log.records.size()}});
+}
+
+} // namespace pomeloloft
--- a/test/stand_ins/target_server.cpp
+++ b/test/stand_ins/target_server.cpp
@@ -58,7 +58,8 @@
     listener.address = options.address;
     listener.setting = "address";
     target_server& self = *target;
-    BOOST_OUTCOME_TRY(auto server, http_server::start(listener, [&self](auto& q, auto& r) { self.handle(q, r); }));
+    BOOST_OUTCOME_TRY(auto server,
+                      http_server::start(listener, [&self](auto& q, auto& r) { self.handle(q, r); }));
     target->server = std::move(server);
     if (!options.proxy_local.empty()) {
         target->announcer = std::thread([&self] { self.announce_until_stopped(); });
