Learn of the target's leave from peers before trusting its reports after a restart

Cause: a restarted sidecar's own entry replaced the earlier one at its peers before it had read it, so a leave that only peers knew was forgotten (sidecar_test, a_leave_is_acknowledged_while_the_store_is_down..., failed in 1 of 2 runs). Ruled out: the store's record, which was never written.

--- a/include/pomeloloft/sidecar/daemon.hpp
+++ b/include/pomeloloft/sidecar/daemon.hpp
@@ -53,6 +53,8 @@
     net::task<bool> keep_leave();
     net::task<void> shut_down();
     void publish();
+    /// Whether what was known of the target before this process started has been asked for.
+    [[nodiscard]] bool trusts_reports() const;
     void note_earlier_self(const member& earlier);
     void read_record(const store_record& record);
     void apply_limits();
--- a/include/pomeloloft/sidecar/peers.hpp
+++ b/include/pomeloloft/sidecar/peers.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -45,6 +46,9 @@
     /// Whether the entry of this node as others held it has been seen.
     [[nodiscard]] bool heard_from_peer() const { return this->heard; }
 
+    /// Exchanges with peers that have not ended yet.
+    [[nodiscard]] std::uint32_t syncing() const { return this->syncs_under_way; }
+
     /// Called when an entry of this node from an earlier process was met.
     std::function<void(const member& earlier)> on_earlier_self;
 
@@ -67,7 +71,9 @@
     net::task<attempt_state> inquire(net::tcp::endpoint address, sent_attempt sent);
     net::task<try_result> settle_loss(net::tcp::endpoint address, sent_attempt sent, bool timed_out);
     void note_remote_config(const std::string& node, net::tcp::endpoint address, std::string_view version);
-    std::string sync_body(bool whole) const;
+    std::string sync_body(bool whole, const std::optional<member>& earlier = {}) const;
+    /// The entry held of a sender's earlier process: it tells the sender what that process knew.
+    std::optional<member> earlier_entry(const std::vector<member>& incoming) const;
 
     net::event_loop& loop;
     board& shared;
@@ -76,6 +82,7 @@
     net::client_pool pool;
     attempt_registry attempts;
     bool fetching = false;
+    std::uint32_t syncs_under_way = 0;
     bool heard = false;
 };
 
--- a/src/pomeloloft/sidecar/daemon.cpp
+++ b/src/pomeloloft/sidecar/daemon.cpp
@@ -24,6 +24,9 @@
 constexpr milliseconds longest_retry{1000};
 /// Without the store and without peers, a target is trusted by its health check after this.
 constexpr milliseconds join_patience{3000};
+/// Peers that answer at all do so within this.
+constexpr milliseconds peer_patience{350};
+constexpr milliseconds peer_poll{5};
 constexpr milliseconds probe_interval{300};
 constexpr milliseconds reconnect_interval{300};
 /// New work stops this long before the time a leaving target allows, for requests on their way to it.
@@ -179,10 +182,20 @@
         }
         // A peer that knows this node answers for the fleet while the store does not.
         this->shared.joined = this->shared.joined || this->peers.heard_from_peer();
+        const bool serves = this->gate.target.state == target_state::serving;
+        if (serves && this->trusts_reports() && this->shared.self.state == member_state::idle) {
+            this->publish();
+        }
         co_await net::sleep_for(pause);
         pause = std::min(pause * 2, longest_retry);
     }
+    // Peers answer the first news of this process with what they knew of the one before it.
+    const time_point patience = steady_clock::now() + peer_patience;
+    while (this->peers.syncing() > 0 && steady_clock::now() < patience) {
+        co_await net::sleep_for(peer_poll);
+    }
     this->shared.joined = true;
+    this->publish();
 }
 
 net::task<bool> sidecar_daemon::register_self()
@@ -239,6 +252,11 @@
     }
 }
 
+bool sidecar_daemon::trusts_reports() const
+{
+    return this->shared.joined || steady_clock::now() - this->started_at > join_patience;
+}
+
 void sidecar_daemon::publish()
 {
     member& self = this->shared.self;
@@ -248,7 +266,7 @@
     member_state state = member_state::idle;
     if (target.state == target_state::leaving) {
         state = member_state::draining;
-    } else if (target.state == target_state::serving && this->gate.reachable()) {
+    } else if (target.state == target_state::serving && this->gate.reachable() && this->trusts_reports()) {
         state = this->shared.stopping ? member_state::idle : member_state::serving;
     }
     this->peers.publish_self(state);
@@ -322,8 +340,7 @@
     while (this->gate.target.state == target_state::unknown && !this->shared.stopping) {
         co_await net::sleep_for(probe_interval);
         const auto table = routes_of(this->shared);
-        const bool consulted = this->shared.joined || steady_clock::now() - this->started_at > join_patience;
-        if (!table || !consulted || this->gate.target.state != target_state::unknown) {
+        if (!table || !this->trusts_reports() || this->gate.target.state != target_state::unknown) {
             continue;
         }
         const auto service = table->services.find(this->shared.own.service);
--- a/src/pomeloloft/sidecar/peers.cpp
+++ b/src/pomeloloft/sidecar/peers.cpp
@@ -275,7 +275,7 @@
     return {net::make_response(net::http::status::ok, held->text, "application/octet-stream")};
 }
 
-std::string peer_links::sync_body(bool whole) const
+std::string peer_links::sync_body(bool whole, const std::optional<member>& earlier) const
 {
     sync_message out;
     out.node = this->shared.own.node;
@@ -290,6 +290,9 @@
     } else {
         out.members.push_back(this->shared.self);
     }
+    if (earlier) {
+        out.members.push_back(*earlier);
+    }
     return encode_sync(out);
 }
 
@@ -300,6 +303,7 @@
         log_warning("sync-ignored", {{"reason", to_string(message.error())}});
         return {net::make_response(net::http::status::bad_request)};
     }
+    const std::optional<member> earlier = this->earlier_entry(message.value().members);
     this->take_members(message.value().members);
     const member* sender = find_member(this->shared.members, message.value().node);
     if (sender != nullptr) {
@@ -310,7 +314,18 @@
         }
     }
     const bool differs = combined_digest(this->shared.members) != message.value().digest;
-    return {net::make_response(net::http::status::ok, this->sync_body(differs), "application/json")};
+    return {net::make_response(net::http::status::ok, this->sync_body(differs, earlier), "application/json")};
+}
+
+std::optional<member> peer_links::earlier_entry(const std::vector<member>& incoming) const
+{
+    for (const member& m : incoming) {
+        const member* held = find_member(this->shared.members, m.node);
+        if (held != nullptr && held->incarnation < m.incarnation && m.node != this->shared.own.node) {
+            return *held;
+        }
+    }
+    return std::nullopt;
 }
 
 void peer_links::take_members(const std::vector<member>& incoming)
@@ -364,6 +379,11 @@
 
 net::task<bool> peer_links::sync_with(std::string node, net::tcp::endpoint address)
 {
+    struct under_way {
+        std::uint32_t& count;
+        explicit under_way(std::uint32_t& counted) : count(counted) { ++this->count; }
+        ~under_way() { --this->count; }
+    } counted(this->syncs_under_way);
     for (bool whole : {false, true}) {
         const time_point deadline = steady_clock::now() + sync_timeout;
         auto connected = co_await this->pool.acquire(address, deadline);
