--- a/include/pomeloloft/mesh/member.hpp
+++ b/include/pomeloloft/mesh/member.hpp
@@ -39,6 +39,10 @@
     std::string instance;
     /// When that start began, in Unix milliseconds; 0 when not told.
     std::int64_t instance_started_at_ms = 0;
+    /// Bandwidth of the VM's link; 0 when not told.
+    std::uint32_t link_mbps = 0;
+    /// Whether the node reaches the platform's store.
+    bool reaches_store = true;
 };
 
 /// Whether `a` replaces `b` for the same node: a total order, so merging commutes.
--- a/include/pomeloloft/sidecar/board.hpp
+++ b/include/pomeloloft/sidecar/board.hpp
@@ -16,14 +16,6 @@
 
 namespace pomeloloft::sidecar {
 
-/// A configuration version as distributed and as routed by.
-struct config_snapshot {
-    std::uint64_t version = 0;
-    /// The document as its source wrote it.
-    std::string text;
-    std::shared_ptr<const routing::route_table> table;
-};
-
 /// One endpoint list of a service.
 struct endpoint_list {
     std::vector<candidate> candidates;
@@ -47,7 +39,7 @@
 /// configuration is read from elsewhere.
 struct board {
     settings own;
-    rcu_cell<config_snapshot> config;
+    rcu_cell<routing::route_table> config;
     member_table members;
     /// This process's own entry in `members`.
     member self;
@@ -70,7 +62,7 @@
 
 /// Takes in a configuration unless it is older than the one held.
 /// @return whether it is now in force.
-bool adopt_config(board& b, config_snapshot next);
+bool adopt_config(board& b, std::shared_ptr<const routing::route_table> next);
 
 /// Rebuilds the endpoint lists from the members.
 void rebuild_endpoints(board& b);
--- /dev/null
+++ b/include/pomeloloft/sidecar/config_feed.hpp
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "pomeloloft/net/client.hpp"
+#include "pomeloloft/net/server.hpp"
+#include "pomeloloft/sidecar/board.hpp"
+#include "pomeloloft/sidecar/shared_store.hpp"
+
+namespace pomeloloft::sidecar {
+
+/// Reads the operator's configuration document.
+using config_decoder = std::function<result<std::shared_ptr<const routing::route_table>>(const std::string&)>;
+
+/// Readers of the store a data centre has.
+inline constexpr std::size_t readers_per_data_centre = 2;
+
+/// The nodes of a data centre that read the store for the others, best links first: of the members that are
+/// there and reach the store.
+[[nodiscard]] std::vector<std::string> config_readers(const member_table& members,
+                                                      const std::string& data_centre);
+
+/// Keeps the configuration new: a few nodes of each data centre read the store and tell the others what
+/// changed; a node that hears of no reader reads the store itself. Belongs to one event loop.
+class config_feed {
+public:
+    config_feed(net::event_loop& where, board& all, shared_store& platform_store, config_decoder decoder);
+
+    /// Reads the store while it is this node's turn.
+    [[nodiscard]] net::task<void> follow();
+
+    /// Tells the nodes of this data centre at intervals which version is the newest, while this node reads.
+    [[nodiscard]] net::task<void> confirm();
+
+    /// Answers requests of other sidecars on the path for configurations.
+    [[nodiscard]] net::reply answer(const net::request& received);
+
+    /// Takes in which version another node holds, as told with a request or an answer.
+    void note_version(const std::string& node, std::string_view version);
+
+    /// Called after a new configuration came into force.
+    std::function<void()> on_config;
+
+    /// Called when the store was lost or regained.
+    std::function<void()> on_store;
+
+    /// Whether the store answered when last asked.
+    [[nodiscard]] bool reaches_store() const { return this->store_reached; }
+
+private:
+    [[nodiscard]] bool is_reader() const;
+    [[nodiscard]] bool hears_reader() const;
+    [[nodiscard]] bool leads() const;
+    net::task<void> read_once();
+    void set_reached(bool reached, const std::string& reason);
+    void adopt(std::shared_ptr<const routing::route_table> table);
+    void push(const std::string& delta);
+    net::task<void> tell(std::string node, net::tcp::endpoint address, std::string delta);
+    net::task<void> catch_up(std::string node);
+    net::task<bool> fetch_from(std::string node);
+    result<void> take_delta(std::string_view text);
+    net::reply serve_delta(std::uint64_t from) const;
+
+    net::event_loop& loop;
+    board& shared;
+    shared_store& store;
+    config_decoder decode;
+    net::client_pool pool;
+    /// Versions held before, for deltas; oldest first.
+    std::deque<std::shared_ptr<const routing::route_table>> history;
+    /// When a reader of this data centre was last heard, by node.
+    std::unordered_map<std::string, time_point> confirmed_at;
+    milliseconds retry_pause{0};
+    bool store_reached = true;
+    bool reading = false;
+    bool catching_up = false;
+};
+
+} // namespace pomeloloft::sidecar
--- a/include/pomeloloft/sidecar/daemon.hpp
+++ b/include/pomeloloft/sidecar/daemon.hpp
@@ -4,6 +4,7 @@
 
 #include "pomeloloft/net/server.hpp"
 #include "pomeloloft/sidecar/board.hpp"
+#include "pomeloloft/sidecar/config_feed.hpp"
 #include "pomeloloft/sidecar/entry.hpp"
 #include "pomeloloft/sidecar/gate.hpp"
 #include "pomeloloft/sidecar/peers.hpp"
@@ -45,7 +46,6 @@
     [[nodiscard]] const settings& current() const { return this->shared.own; }
 
 private:
-    net::task<void> follow_config();
     net::task<void> join();
     net::task<bool> register_self();
     net::task<void> find_target();
@@ -63,6 +63,7 @@
     board shared;
     std::unique_ptr<shared_store> store;
     target_gate gate;
+    config_feed feed;
     peer_links peers;
     entry_router entry;
     std::shared_ptr<net::server> outbound;
--- a/include/pomeloloft/sidecar/peer_headers.hpp
+++ b/include/pomeloloft/sidecar/peer_headers.hpp
@@ -27,6 +27,8 @@
 inline constexpr const char* wait = "x-pomeloloft-wait";
 /// `RUNNING WAITING SLOTS SERVICE_US`.
 inline constexpr const char* load = "x-pomeloloft-load";
+/// The sidecar that sends.
+inline constexpr const char* node = "x-pomeloloft-node";
 /// Version of the configuration the sender holds.
 inline constexpr const char* config = "x-pomeloloft-config";
 
--- a/include/pomeloloft/sidecar/peers.hpp
+++ b/include/pomeloloft/sidecar/peers.hpp
@@ -9,19 +9,17 @@
 #include "pomeloloft/net/client.hpp"
 #include "pomeloloft/net/server.hpp"
 #include "pomeloloft/sidecar/board.hpp"
+#include "pomeloloft/sidecar/config_feed.hpp"
 #include "pomeloloft/sidecar/gate.hpp"
 #include "pomeloloft/traffic/attempt_registry.hpp"
 
 namespace pomeloloft::sidecar {
 
-/// Reads a configuration document.
-using config_decoder = std::function<result<std::shared_ptr<const routing::route_table>>(const std::string&)>;
-
-/// Talks to the sidecars on other VMs: forwards requests, spreads member entries and configurations. Belongs
+/// Talks to the sidecars on other VMs: forwards requests and spreads member entries. Belongs
 /// to one event loop.
 class peer_links {
 public:
-    peer_links(net::event_loop& where, board& shared, target_gate& gate, config_decoder decode);
+    peer_links(net::event_loop& where, board& shared, target_gate& gate, config_feed& feed);
 
     /// Sends a request to the sidecar beside the chosen target.
     [[nodiscard]] net::task<try_result> forward(net::request& sent, const candidate& to,
@@ -39,10 +37,6 @@
     /// Exchanges entries and configuration with a random peer at intervals.
     [[nodiscard]] net::task<void> keep_in_sync();
 
-    /// Takes in a configuration document.
-    /// @return whether it is now in force; errors for a document that is not valid.
-    result<bool> take_config(const std::string& text);
-
     /// Whether the entry of this node as others held it has been seen.
     [[nodiscard]] bool heard_from_peer() const { return this->heard; }
 
@@ -52,9 +46,6 @@
     /// Called when an entry of this node from an earlier process was met.
     std::function<void(const member& earlier)> on_earlier_self;
 
-    /// Called after a new configuration came into force.
-    std::function<void()> on_config;
-
 private:
     /// A try of a request that must not run twice, and the process it was sent to.
     struct sent_attempt {
@@ -64,13 +55,10 @@
 
     net::task<net::reply> serve_forwarded(net::request& received);
     net::reply serve_sync(const net::request& received);
-    net::reply serve_config() const;
     net::reply serve_fence(const net::request& received);
     net::task<bool> sync_with(std::string node, net::tcp::endpoint address);
-    net::task<void> fetch_config(std::string node, net::tcp::endpoint address);
     net::task<attempt_state> inquire(net::tcp::endpoint address, sent_attempt sent);
     net::task<try_result> settle_loss(net::tcp::endpoint address, sent_attempt sent, bool timed_out);
-    void note_remote_config(const std::string& node, net::tcp::endpoint address, std::string_view version);
     std::string sync_body(bool whole, const std::optional<member>& earlier = {}) const;
     /// The entry held of a sender's earlier process: it tells the sender what that process knew.
     std::optional<member> earlier_entry(const std::vector<member>& incoming) const;
@@ -78,10 +66,9 @@
     net::event_loop& loop;
     board& shared;
     target_gate& gate;
-    config_decoder decode;
+    config_feed& feed;
     net::client_pool pool;
     attempt_registry attempts;
-    bool fetching = false;
     std::uint32_t syncs_under_way = 0;
     bool heard = false;
 };
--- a/include/pomeloloft/sidecar/settings.hpp
+++ b/include/pomeloloft/sidecar/settings.hpp
@@ -58,6 +58,8 @@
     milliseconds drain{2000};
     /// Time between SIGTERM and SIGKILL.
     milliseconds grace{6000};
+    /// Bandwidth of the VM's link.
+    std::uint32_t link_mbps = 1000;
     /// Memory the process may use, in bytes.
     std::uint64_t memory_limit = 256U << 20U;
 };
--- a/include/pomeloloft/sidecar/shared_store.hpp
+++ b/include/pomeloloft/sidecar/shared_store.hpp
@@ -26,6 +26,9 @@
     /// @return nothing when none came in a while.
     virtual net::task<result<std::optional<std::string>>> next_config() = 0;
 
+    /// Lets the next call of `next_config` return the newest document, whatever came before it.
+    virtual void skip_to_newest() = 0;
+
     /// Writes records of the project's own, all or none. A write that was given up never replaces a later
     /// one.
     virtual net::task<result<void>> put(std::vector<store_record> records, time_point deadline) = 0;
--- a/src/pomeloloft/mesh/member.cpp
+++ b/src/pomeloloft/mesh/member.cpp
@@ -28,7 +28,9 @@
          {&m.data_centre, &m.service, &m.peer_address, &m.control_address, &m.owner, &m.instance}) {
         hash = hash_combine(hash, hash_bytes(*text));
     }
-    return hash_combine(hash, static_cast<std::uint64_t>(m.instance_started_at_ms));
+    hash = hash_combine(hash, static_cast<std::uint64_t>(m.instance_started_at_ms));
+    hash = hash_combine(hash, m.link_mbps);
+    return hash_combine(hash, m.reaches_store ? 1 : 0);
 }
 
 std::uint64_t tree_weight(const std::string& node)
--- /dev/null
+++ b/src/pomeloloft/routing/table_codec.cpp
@@ -0,0 +1,226 @@
+#include "pomeloloft/routing/table_codec.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "pomeloloft/base/hash.hpp"
+
+namespace pomeloloft::routing {
+namespace {
+
+using nlohmann::json;
+
+std::uint64_t hash_route(const route& r)
+{
+    std::uint64_t hash = hash_bytes(r.name, r.idempotent ? 1 : 0);
+    hash = hash_combine(hash, hash_bytes(r.host));
+    hash = hash_combine(hash, hash_bytes(r.prefix));
+    for (const weighted_service& part : r.split) {
+        hash = hash_combine(hash, hash_bytes(part.service, part.weight));
+    }
+    hash = hash_combine(hash, static_cast<std::uint64_t>(r.timeout.count()));
+    hash = hash_combine(hash, static_cast<std::uint64_t>(r.target_latency.count()));
+    hash = hash_combine(hash, r.priority);
+    return hash_combine(hash, r.max_attempts);
+}
+
+std::uint64_t hash_services(const std::map<std::string, service>& services)
+{
+    std::uint64_t hash = 0;
+    for (const auto& [name, s] : services) {
+        hash = hash_combine(hash, hash_bytes(name, s.max_connections));
+        hash = hash_combine(hash, hash_bytes(s.health_path));
+    }
+    return hash;
+}
+
+std::uint64_t hash_limits(const request_limits& limits)
+{
+    std::uint64_t hash = hash_combine(limits.max_header_bytes, limits.max_body_bytes);
+    hash = hash_combine(hash, static_cast<std::uint64_t>(limits.header_timeout.count()));
+    return hash_combine(hash, static_cast<std::uint64_t>(limits.idle_timeout.count()));
+}
+
+const route* find_route(const route_table& table, const route& key)
+{
+    const auto host = table.index.find(key.host);
+    if (host == table.index.end()) {
+        return nullptr;
+    }
+    const auto found = host->second.find(key.prefix);
+    return found == host->second.end() ? nullptr : &table.routes[found->second];
+}
+
+json to_json(const route& r)
+{
+    json split = json::array();
+    for (const weighted_service& part : r.split) {
+        split.push_back(json::array({part.service, part.weight}));
+    }
+    return json::array({r.name, r.host, r.prefix, std::move(split), r.idempotent, r.timeout.count(),
+                        r.target_latency.count(), r.priority, r.max_attempts});
+}
+
+route route_from(const json& in)
+{
+    route out;
+    out.name = in.at(0).get<std::string>();
+    out.host = in.at(1).get<std::string>();
+    out.prefix = in.at(2).get<std::string>();
+    for (const json& part : in.at(3)) {
+        out.split.push_back({part.at(0).get<std::string>(), part.at(1).get<std::uint32_t>()});
+    }
+    std::size_t at = 4;
+    out.idempotent = in.at(at++).get<bool>();
+    out.timeout = milliseconds(in.at(at++).get<std::int64_t>());
+    out.target_latency = milliseconds(in.at(at++).get<std::int64_t>());
+    out.priority = in.at(at++).get<std::uint32_t>();
+    out.max_attempts = in.at(at++).get<std::uint32_t>();
+    return out;
+}
+
+json limits_to_json(const request_limits& limits)
+{
+    return json::array({limits.max_header_bytes, limits.max_body_bytes, limits.header_timeout.count(),
+                        limits.idle_timeout.count()});
+}
+
+request_limits limits_from(const json& in)
+{
+    request_limits out;
+    out.max_header_bytes = in.at(0).get<std::uint32_t>();
+    out.max_body_bytes = in.at(1).get<std::uint64_t>();
+    out.header_timeout = milliseconds(in.at(2).get<std::int64_t>());
+    out.idle_timeout = milliseconds(in.at(3).get<std::int64_t>());
+    return out;
+}
+
+} // namespace
+
+std::uint64_t hash_of(const route_table& table)
+{
+    std::uint64_t routes = 0;
+    for (const route& r : table.routes) {
+        routes ^= hash_route(r);
+    }
+    const std::uint64_t rest = hash_combine(hash_services(table.services), hash_limits(table.limits));
+    return hash_combine(hash_combine(routes, rest), table.version);
+}
+
+table_delta make_delta(const route_table& from, const route_table& to)
+{
+    table_delta out;
+    out.base_version = from.version;
+    out.version = to.version;
+    out.hash = hash_of(to);
+    for (const route& r : to.routes) {
+        const route* before = find_route(from, r);
+        if (before == nullptr || hash_route(*before) != hash_route(r)) {
+            out.changed.push_back(r);
+        }
+    }
+    for (const route& r : from.routes) {
+        if (find_route(to, r) == nullptr) {
+            route gone;
+            gone.host = r.host;
+            gone.prefix = r.prefix;
+            out.removed.push_back(std::move(gone));
+        }
+    }
+    out.services_changed = hash_services(from.services) != hash_services(to.services);
+    if (out.services_changed) {
+        out.services = to.services;
+    }
+    out.limits = to.limits;
+    return out;
+}
+
+result<std::shared_ptr<const route_table>> apply_delta(const route_table& base, const table_delta& delta)
+{
+    if (base.version != delta.base_version) {
+        return error{error_code::stale, "delta",
+                     "is from version " + std::to_string(delta.base_version) + ", held is " +
+                         std::to_string(base.version)};
+    }
+    route_table next = base;
+    next.version = delta.version;
+    next.limits = delta.limits;
+    if (delta.services_changed) {
+        next.services = delta.services;
+    }
+    for (const route& r : delta.changed) {
+        const route* before = find_route(base, r);
+        if (before == nullptr) {
+            next.routes.push_back(r);
+        } else {
+            next.routes[static_cast<std::size_t>(before - base.routes.data())] = r;
+        }
+    }
+    for (const route& gone : delta.removed) {
+        std::erase_if(next.routes,
+                      [&gone](const route& r) { return r.host == gone.host && r.prefix == gone.prefix; });
+    }
+    BOOST_OUTCOME_TRY(auto built, build_table(std::move(next)));
+    if (hash_of(*built) != delta.hash) {
+        return error{error_code::corrupt, "delta", "leads to another table than it was made from"};
+    }
+    return built;
+}
+
+std::string encode_delta(const table_delta& delta)
+{
+    json changed = json::array();
+    for (const route& r : delta.changed) {
+        changed.push_back(to_json(r));
+    }
+    json removed = json::array();
+    for (const route& r : delta.removed) {
+        removed.push_back(json::array({r.host, r.prefix}));
+    }
+    json out{{"base", delta.base_version}, {"version", delta.version},       {"hash", delta.hash},
+             {"changed", std::move(changed)}, {"removed", std::move(removed)},
+             {"limits", limits_to_json(delta.limits)}};
+    if (delta.services_changed) {
+        json services = json::array();
+        for (const auto& [name, s] : delta.services) {
+            services.push_back(json::array({name, s.health_path, s.max_connections}));
+        }
+        out["services"] = std::move(services);
+    }
+    return out.dump();
+}
+
+result<table_delta> decode_delta(std::string_view text)
+{
+    try {
+        const json in = json::parse(text);
+        table_delta out;
+        out.base_version = in.at("base").get<std::uint64_t>();
+        out.version = in.at("version").get<std::uint64_t>();
+        out.hash = in.at("hash").get<std::uint64_t>();
+        for (const json& r : in.at("changed")) {
+            out.changed.push_back(route_from(r));
+        }
+        for (const json& r : in.at("removed")) {
+            route gone;
+            gone.host = r.at(0).get<std::string>();
+            gone.prefix = r.at(1).get<std::string>();
+            out.removed.push_back(std::move(gone));
+        }
+        out.limits = limits_from(in.at("limits"));
+        out.services_changed = in.contains("services");
+        if (out.services_changed) {
+            for (const json& s : in.at("services")) {
+                const auto name = s.at(0).get<std::string>();
+                out.services[name] = {name, s.at(1).get<std::string>(), s.at(2).get<std::uint32_t>()};
+            }
+        }
+        return out;
+    } catch (const json::exception& e) {
+        return error{error_code::corrupt, "delta", e.what()};
+    }
+}
+
+} // namespace pomeloloft::routing
--- /dev/null
+++ b/src/pomeloloft/routing/table_codec_test.cpp
@@ -0,0 +1,116 @@
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "pomeloloft/routing/table_codec.hpp"
+
+namespace pomeloloft::routing {
+namespace {
+
+route_table make_source(std::uint64_t version)
+{
+    route_table out;
+    out.version = version;
+    out.services["register"] = {"register", "/health", 10};
+    for (int i = 0; i < 5; ++i) {
+        route r;
+        r.name = "r" + std::to_string(i);
+        r.host = "a.example";
+        r.prefix = "/p" + std::to_string(i) + "/";
+        r.split = {{"register", 1}};
+        out.routes.push_back(r);
+    }
+    return out;
+}
+
+struct change_row {
+    const char* name;
+    void (*change)(route_table& next);
+};
+
+std::ostream& operator<<(std::ostream& out, const change_row& row)
+{
+    return out << row.name;
+}
+
+const change_row change_rows[] = {
+    {"nothing but the version", [](route_table&) {}},
+    {"a changed time-out", [](route_table& t) { t.routes[2].timeout = milliseconds(77); }},
+    {"a removed route", [](route_table& t) { t.routes.erase(t.routes.begin() + 1); }},
+    {"an added route", [](route_table& t) {
+         t.routes.push_back(t.routes[0]);
+         t.routes.back().prefix = "/new/";
+     }},
+    {"a moved split", [](route_table& t) {
+         t.services["geometry"] = {"geometry", "/health", 5};
+         t.routes[0].split = {{"register", 90}, {"geometry", 10}};
+     }},
+    {"limits", [](route_table& t) { t.limits.max_body_bytes = 5; }},
+    {"all at once", [](route_table& t) {
+         t.routes.erase(t.routes.begin(), t.routes.begin() + 3);
+         t.routes[0].priority = 9;
+         t.limits.idle_timeout = milliseconds(1);
+     }},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(table_deltas)
+
+BOOST_DATA_TEST_CASE(a_delta_leads_to_the_same_table, boost::unit_test::data::make(change_rows))
+{
+    const auto before = build_table(make_source(3)).value();
+    route_table changed = make_source(8);
+    sample.change(changed);
+    const auto after = build_table(changed).value();
+    const auto delta = decode_delta(encode_delta(make_delta(*before, *after)));
+    BOOST_REQUIRE(delta);
+    const auto reached = apply_delta(*before, delta.value());
+    BOOST_REQUIRE(reached);
+    BOOST_TEST(reached.value()->version == 8U);
+    BOOST_TEST(hash_of(*reached.value()) == hash_of(*after));
+    BOOST_TEST(reached.value()->routes.size() == after->routes.size());
+}
+
+BOOST_AUTO_TEST_CASE(a_whole_table_is_the_delta_from_an_empty_one)
+{
+    const auto table = build_table(make_source(8)).value();
+    const auto delta = decode_delta(encode_delta(make_delta(route_table{}, *table)));
+    BOOST_REQUIRE(delta);
+    const auto reached = apply_delta(route_table{}, delta.value());
+    BOOST_REQUIRE(reached);
+    BOOST_TEST(hash_of(*reached.value()) == hash_of(*table));
+}
+
+BOOST_AUTO_TEST_CASE(a_delta_from_another_version_changes_nothing)
+{
+    const auto before = build_table(make_source(3)).value();
+    const auto other = build_table(make_source(4)).value();
+    const auto after = build_table(make_source(8)).value();
+    const auto reached = apply_delta(*other, make_delta(*before, *after));
+    BOOST_REQUIRE(!reached);
+    BOOST_TEST((reached.error().code == error_code::stale));
+}
+
+BOOST_AUTO_TEST_CASE(a_base_with_the_same_version_but_other_contents_is_noticed)
+{
+    const auto before = build_table(make_source(3)).value();
+    route_table differing = make_source(3);
+    differing.routes[4].priority = 7;
+    const auto other = build_table(differing).value();
+    const auto after = build_table(make_source(8)).value();
+    const auto reached = apply_delta(*other, make_delta(*before, *after));
+    BOOST_REQUIRE(!reached);
+    BOOST_TEST((reached.error().code == error_code::corrupt));
+}
+
+BOOST_AUTO_TEST_CASE(what_is_no_delta_is_refused)
+{
+    for (const char* text : {"", "[]", "{}", R"({"base":1,"version":2,"hash":3,"changed":[[1]],"removed":[]})"}) {
+        BOOST_TEST(!decode_delta(text));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace pomeloloft::routing
--- a/src/pomeloloft/sidecar/board.cpp
+++ b/src/pomeloloft/sidecar/board.cpp
@@ -9,20 +9,19 @@
 
 std::shared_ptr<const routing::route_table> routes_of(const board& b)
 {
-    const auto held = b.config.load();
-    return held ? held->table : nullptr;
+    return b.config.load();
 }
 
-bool adopt_config(board& b, config_snapshot next)
+bool adopt_config(board& b, std::shared_ptr<const routing::route_table> next)
 {
     const auto held = b.config.load();
-    if (held && next.version <= held->version) {
+    if (held && next->version <= held->version) {
         return false;
     }
-    log_change("config-applied", {{"version", next.version},
+    log_change("config-applied", {{"version", next->version},
                                   {"before", held ? held->version : std::uint64_t{0}},
-                                  {"routes", static_cast<std::uint64_t>(next.table->routes.size())}});
-    b.config.store(std::make_shared<const config_snapshot>(std::move(next)));
+                                  {"routes", static_cast<std::uint64_t>(next->routes.size())}});
+    b.config.store(std::move(next));
     return true;
 }
 
--- /dev/null
+++ b/src/pomeloloft/sidecar/config_feed.cpp
@@ -0,0 +1,371 @@
+#include "pomeloloft/sidecar/config_feed.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+#include <tuple>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "pomeloloft/base/log_line.hpp"
+#include "pomeloloft/net/timer.hpp"
+#include "pomeloloft/routing/table_codec.hpp"
+#include "pomeloloft/sidecar/peer_headers.hpp"
+#include "pomeloloft/sidecar/random.hpp"
+
+namespace pomeloloft::sidecar {
+namespace {
+
+constexpr milliseconds first_retry{100};
+constexpr milliseconds longest_retry{1000};
+/// Readers confirm the newest version this often; a reader not heard for the second time is taken as lost. A
+/// node then still has time to read a version itself before it must be in force.
+constexpr milliseconds confirm_interval{500};
+constexpr milliseconds reader_patience{1100};
+/// Pause of a node that need not read, before it looks again.
+constexpr milliseconds idle_poll{100};
+/// Time in which a version that is told of arrives by itself.
+constexpr milliseconds push_time{200};
+constexpr milliseconds fetch_timeout{1500};
+constexpr milliseconds tell_timeout{700};
+/// Versions kept for deltas: more than come while a node fetches one.
+constexpr std::size_t max_history = 8;
+
+std::optional<std::uint64_t> number_in(std::string_view text)
+{
+    std::uint64_t value = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (parsed.ec != std::errc{} || parsed.ptr != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+std::string_view text_of(const net::request& received, const char* name)
+{
+    const auto text = received[name];
+    return {text.data(), text.size()};
+}
+
+net::client_options feed_pool_options()
+{
+    net::client_options out;
+    out.connect_timeout = milliseconds(300);
+    return out;
+}
+
+} // namespace
+
+std::vector<std::string> config_readers(const member_table& members, const std::string& data_centre)
+{
+    std::vector<const member*> able;
+    for (const auto& [node, entry] : members.entries) {
+        const member& m = entry.value;
+        if (m.data_centre == data_centre && m.state != member_state::gone && m.reaches_store) {
+            able.push_back(&m);
+        }
+    }
+    const auto better = [](const member* a, const member* b) {
+        return std::make_tuple(-static_cast<std::int64_t>(a->link_mbps), tree_weight(a->node)) <
+               std::make_tuple(-static_cast<std::int64_t>(b->link_mbps), tree_weight(b->node));
+    };
+    const std::size_t count = std::min(able.size(), readers_per_data_centre);
+    std::partial_sort(able.begin(), able.begin() + static_cast<std::ptrdiff_t>(count), able.end(), better);
+    std::vector<std::string> out;
+    for (std::size_t i = 0; i < count; ++i) {
+        out.push_back(able[i]->node);
+    }
+    return out;
+}
+
+config_feed::config_feed(net::event_loop& where, board& all, shared_store& platform_store,
+                         config_decoder decoder)
+    : loop(where), shared(all), store(platform_store), decode(std::move(decoder)),
+      pool(where, feed_pool_options())
+{}
+
+bool config_feed::is_reader() const
+{
+    const auto readers = config_readers(this->shared.members, this->shared.own.data_centre);
+    return std::find(readers.begin(), readers.end(), this->shared.own.node) != readers.end();
+}
+
+bool config_feed::hears_reader() const
+{
+    const time_point since = steady_clock::now() - reader_patience;
+    return std::any_of(this->confirmed_at.begin(), this->confirmed_at.end(),
+                       [since](const auto& heard) { return heard.second >= since; });
+}
+
+bool config_feed::leads() const
+{
+    const auto readers = config_readers(this->shared.members, this->shared.own.data_centre);
+    const time_point since = steady_clock::now() - reader_patience;
+    for (const std::string& reader : readers) {
+        if (reader == this->shared.own.node) {
+            return true;
+        }
+        const auto heard = this->confirmed_at.find(reader);
+        if (heard != this->confirmed_at.end() && heard->second >= since) {
+            return false;
+        }
+    }
+    return false;
+}
+
+net::task<void> config_feed::follow()
+{
+    while (!this->shared.stopping) {
+        const bool needed = this->shared.config.load() == nullptr || this->is_reader() || !this->hears_reader();
+        if (!needed) {
+            this->reading = false;
+            co_await net::sleep_for(idle_poll);
+            continue;
+        }
+        if (!this->reading) {
+            this->store.skip_to_newest();
+        }
+        this->reading = true;
+        co_await this->read_once();
+    }
+}
+
+void config_feed::set_reached(bool reached, const std::string& reason)
+{
+    if (reached == this->store_reached) {
+        return;
+    }
+    this->store_reached = reached;
+    if (reached) {
+        log_change("store-regained");
+    } else {
+        log_warning("store-lost", {{"reason", reason}});
+    }
+    if (this->on_store) {
+        this->on_store();
+    }
+}
+
+net::task<void> config_feed::read_once()
+{
+    const auto next = co_await this->store.next_config();
+    if (!next) {
+        this->set_reached(false, to_string(next.error()));
+        this->retry_pause = std::clamp(this->retry_pause * 2, first_retry, longest_retry);
+        const auto spread = static_cast<std::uint64_t>(this->retry_pause.count());
+        co_await net::sleep_for(this->retry_pause / 2 + milliseconds(random_draw() % spread));
+        co_return;
+    }
+    this->retry_pause = milliseconds{0};
+    this->set_reached(true, {});
+    if (!next.value()) {
+        co_return;
+    }
+    auto table = this->decode(*next.value());
+    if (!table) {
+        log_warning("config-ignored", {{"from", "store"}, {"reason", to_string(table.error())}});
+        co_return;
+    }
+    this->adopt(std::move(table.value()));
+}
+
+void config_feed::adopt(std::shared_ptr<const routing::route_table> table)
+{
+    const auto before = routes_of(this->shared);
+    if (!adopt_config(this->shared, table)) {
+        return;
+    }
+    if (before) {
+        this->history.push_back(before);
+        if (this->history.size() > max_history) {
+            this->history.pop_front();
+        }
+    }
+    if (this->on_config) {
+        this->on_config();
+    }
+    if (before && this->reading && this->leads()) {
+        this->push(routing::encode_delta(routing::make_delta(*before, *table)));
+    }
+}
+
+void config_feed::push(const std::string& delta)
+{
+    for (const auto& [node, entry] : this->shared.members.entries) {
+        const member& m = entry.value;
+        if (node == this->shared.own.node || m.data_centre != this->shared.own.data_centre ||
+            m.state == member_state::gone) {
+            continue;
+        }
+        const auto address = net::parse_endpoint(m.peer_address, "member " + node);
+        if (address) {
+            net::asio::co_spawn(this->loop, this->tell(node, address.value(), delta), net::asio::detached);
+        }
+    }
+}
+
+net::task<void> config_feed::tell(std::string node, net::tcp::endpoint address, std::string delta)
+{
+    const time_point deadline = steady_clock::now() + tell_timeout;
+    auto connected = co_await this->pool.acquire(address, deadline);
+    if (!connected) {
+        co_return;
+    }
+    const auto held = routes_of(this->shared);
+    net::request sent{net::http::verb::post, peer_header::config_path, 11};
+    sent.set(peer_header::node, this->shared.own.node);
+    sent.set(peer_header::config, std::to_string(held ? held->version : 0));
+    sent.body() = std::move(delta);
+    sent.prepare_payload();
+    net::exchange_options options;
+    options.deadline = deadline;
+    net::exchange_result ended = co_await net::exchange(*connected.value(), sent, options);
+    if (ended.reusable) {
+        this->pool.release(address, std::move(connected.value()));
+    }
+    if (ended.end == net::exchange_end::answered) {
+        const auto version = ended.answer[peer_header::config];
+        this->note_version(node, {version.data(), version.size()});
+    }
+}
+
+net::task<void> config_feed::confirm()
+{
+    for (;;) {
+        co_await net::sleep_for(confirm_interval);
+        this->pool.sweep();
+        const bool confirms = !this->shared.stopping && this->reading && this->store_reached &&
+                              this->shared.config.load() != nullptr && this->is_reader();
+        if (confirms) {
+            this->push({});
+        }
+    }
+}
+
+net::reply config_feed::answer(const net::request& received)
+{
+    const auto held = routes_of(this->shared);
+    const std::string node(text_of(received, peer_header::node));
+    if (received.method() == net::http::verb::get) {
+        return this->serve_delta(number_in(text_of(received, peer_header::config)).value_or(0));
+    }
+    this->confirmed_at[node] = steady_clock::now();
+    if (!received.body().empty()) {
+        const auto taken = this->take_delta(received.body());
+        if (!taken && taken.error().code != pomeloloft::error_code::stale) {
+            log_warning("config-ignored", {{"from", node}, {"reason", to_string(taken.error())}});
+        }
+    }
+    this->note_version(node, text_of(received, peer_header::config));
+    net::reply out{net::make_response(net::http::status::ok)};
+    const auto now_held = routes_of(this->shared);
+    out.answer.set(peer_header::config, std::to_string(now_held ? now_held->version : 0));
+    return out;
+}
+
+result<void> config_feed::take_delta(std::string_view text)
+{
+    BOOST_OUTCOME_TRY(const auto delta, routing::decode_delta(text));
+    const auto held = routes_of(this->shared);
+    if (held && delta.version <= held->version) {
+        return success();
+    }
+    const routing::route_table empty;
+    const bool whole = delta.base_version == 0;
+    if (!held && !whole) {
+        return error{pomeloloft::error_code::stale, "delta", "no version is held yet"};
+    }
+    BOOST_OUTCOME_TRY(auto table, routing::apply_delta(whole ? empty : *held, delta));
+    this->adopt(std::move(table));
+    return success();
+}
+
+net::reply config_feed::serve_delta(std::uint64_t from) const
+{
+    const auto held = routes_of(this->shared);
+    if (!held) {
+        return {net::make_response(net::http::status::not_found)};
+    }
+    const auto base = std::find_if(this->history.begin(), this->history.end(),
+                                   [from](const auto& table) { return table->version == from; });
+    const routing::route_table empty;
+    const routing::table_delta delta = routing::make_delta(base == this->history.end() ? empty : **base, *held);
+    return {net::make_response(net::http::status::ok, routing::encode_delta(delta), "application/json")};
+}
+
+void config_feed::note_version(const std::string& node, std::string_view version)
+{
+    const auto told = number_in(version);
+    const auto held = routes_of(this->shared);
+    if (!told || *told <= (held ? held->version : 0) || this->catching_up) {
+        return;
+    }
+    this->catching_up = true;
+    net::asio::co_spawn(this->loop, this->catch_up(node), net::asio::detached);
+}
+
+net::task<void> config_feed::catch_up(std::string node)
+{
+    const auto before = routes_of(this->shared);
+    if (before) {
+        co_await net::sleep_for(push_time);
+    }
+    const auto held = routes_of(this->shared);
+    const bool arrived = before && held->version > before->version;
+    if (!arrived) {
+        // A reader is near and has a good link; who told may have neither.
+        std::vector<std::string> sources = config_readers(this->shared.members, this->shared.own.data_centre);
+        sources.push_back(node);
+        for (const std::string& source : sources) {
+            if (source == this->shared.own.node) {
+                continue;
+            }
+            const bool fetched = co_await this->fetch_from(source);
+            if (fetched) {
+                break;
+            }
+        }
+    }
+    this->catching_up = false;
+}
+
+net::task<bool> config_feed::fetch_from(std::string node)
+{
+    const member* known = find_member(this->shared.members, node);
+    if (known == nullptr) {
+        co_return false;
+    }
+    const auto address = net::parse_endpoint(known->peer_address, "member " + node);
+    if (!address) {
+        co_return false;
+    }
+    const time_point deadline = steady_clock::now() + fetch_timeout;
+    auto connected = co_await this->pool.acquire(address.value(), deadline);
+    if (!connected) {
+        co_return false;
+    }
+    const auto before = routes_of(this->shared);
+    net::request sent{net::http::verb::get, peer_header::config_path, 11};
+    sent.set(peer_header::node, this->shared.own.node);
+    sent.set(peer_header::config, std::to_string(before ? before->version : 0));
+    net::exchange_options options;
+    options.deadline = deadline;
+    net::exchange_result ended = co_await net::exchange(*connected.value(), sent, options);
+    if (ended.end != net::exchange_end::answered || ended.answer.result() != net::http::status::ok) {
+        co_return false;
+    }
+    if (ended.reusable) {
+        this->pool.release(address.value(), std::move(connected.value()));
+    }
+    const auto taken = this->take_delta(ended.answer.body());
+    if (!taken) {
+        log_warning("config-ignored", {{"from", node}, {"reason", to_string(taken.error())}});
+        co_return false;
+    }
+    const auto held = routes_of(this->shared);
+    co_return held && (!before || held->version > before->version);
+}
+
+} // namespace pomeloloft::sidecar
--- a/src/pomeloloft/sidecar/daemon.cpp
+++ b/src/pomeloloft/sidecar/daemon.cpp
@@ -26,6 +26,8 @@
 constexpr milliseconds join_patience{3000};
 /// Peers that answer at all do so within this.
 constexpr milliseconds peer_patience{350};
+/// Peers that are up answer within this; the others have just started too, or are gone.
+constexpr milliseconds live_peer_patience{60};
 constexpr milliseconds peer_poll{5};
 constexpr milliseconds probe_interval{300};
 constexpr milliseconds reconnect_interval{300};
@@ -73,7 +75,8 @@
 sidecar_daemon::sidecar_daemon(net::event_loop& where, settings own,
                                std::unique_ptr<shared_store> platform_store, config_decoder decode)
     : loop(where), shared{std::move(own)}, store(std::move(platform_store)), gate(where, this->shared.own),
-      peers(where, this->shared, this->gate, std::move(decode)), entry(this->shared, this->gate, this->peers),
+      feed(where, this->shared, *this->store, std::move(decode)),
+      peers(where, this->shared, this->gate, this->feed), entry(this->shared, this->gate, this->peers),
       started_at(steady_clock::now())
 {
     member& self = this->shared.self;
@@ -82,6 +85,7 @@
     self.data_centre = this->shared.own.data_centre;
     self.service = this->shared.own.service;
     self.peer_address = this->shared.own.peer_address;
+    self.link_mbps = this->shared.own.link_mbps;
     merge(this->shared.members, self, 0, this->started_at);
 }
 
@@ -98,7 +102,8 @@
     BOOST_OUTCOME_TRY(this->inbound,
                       net::server::start(this->loop, own.peer_address, "peer address",
                                          [this](net::request& r) { return this->peers.answer(r); }));
-    this->peers.on_config = [this] { this->apply_limits(); };
+    this->feed.on_config = [this] { this->apply_limits(); };
+    this->feed.on_store = [this] { this->publish(); };
     this->peers.on_earlier_self = [this](const member& earlier) { this->note_earlier_self(earlier); };
     this->gate.on_reachable = [this](bool reachable) {
         log_change("target-reachable", {{"reachable", reachable ? "yes" : "no"}});
@@ -108,7 +113,8 @@
             net::asio::co_spawn(this->loop, this->reconnect_target(), log_controller_end);
         }
     };
-    net::asio::co_spawn(this->loop, this->follow_config(), log_controller_end);
+    net::asio::co_spawn(this->loop, this->feed.follow(), log_controller_end);
+    net::asio::co_spawn(this->loop, this->feed.confirm(), log_controller_end);
     net::asio::co_spawn(this->loop, this->join(), log_controller_end);
     net::asio::co_spawn(this->loop, this->find_target(), log_controller_end);
     net::asio::co_spawn(this->loop, this->peers.keep_in_sync(), log_controller_end);
@@ -141,37 +147,6 @@
     this->inbound->limits.idle_timeout = std::max(limits.idle_timeout, milliseconds{15'000});
 }
 
-net::task<void> sidecar_daemon::follow_config()
-{
-    milliseconds pause = first_retry;
-    bool connected = true;
-    while (!this->shared.stopping) {
-        const auto next = co_await this->store->next_config();
-        if (!next) {
-            if (connected) {
-                log_warning("store-lost", {{"reason", to_string(next.error())}});
-            }
-            connected = false;
-            const auto spread = static_cast<std::uint64_t>(pause.count());
-            co_await net::sleep_for(pause / 2 + milliseconds(random_draw() % spread));
-            pause = std::min(pause * 2, longest_retry);
-            continue;
-        }
-        if (!connected) {
-            log_change("store-regained");
-        }
-        connected = true;
-        pause = first_retry;
-        if (!next.value()) {
-            continue;
-        }
-        const auto taken = this->peers.take_config(*next.value());
-        if (!taken) {
-            log_warning("config-ignored", {{"from", "store"}, {"reason", to_string(taken.error())}});
-        }
-    }
-}
-
 net::task<void> sidecar_daemon::join()
 {
     milliseconds pause = first_retry;
@@ -190,8 +165,13 @@
         pause = std::min(pause * 2, longest_retry);
     }
     // Peers answer the first news of this process with what they knew of the one before it.
-    const time_point patience = steady_clock::now() + peer_patience;
-    while (this->peers.syncing() > 0 && steady_clock::now() < patience) {
+    const time_point begun = steady_clock::now();
+    const auto waits = [this, begun] {
+        const auto waited = steady_clock::now() - begun;
+        const milliseconds limit = this->peers.heard_from_peer() ? live_peer_patience : peer_patience;
+        return this->peers.syncing() > 0 && waited < limit;
+    };
+    while (waits()) {
         co_await net::sleep_for(peer_poll);
     }
     this->shared.joined = true;
@@ -263,6 +243,7 @@
     const target_record& target = this->gate.target;
     self.instance = target.instance.id;
     self.instance_started_at_ms = target.instance.started_at_ms;
+    self.reaches_store = this->feed.reaches_store() && !this->shared.stopping;
     member_state state = member_state::idle;
     if (target.state == target_state::leaving) {
         state = member_state::draining;
--- a/src/pomeloloft/sidecar/member_record.cpp
+++ b/src/pomeloloft/sidecar/member_record.cpp
@@ -19,7 +19,9 @@
                 {"service", m.service},
                 {"peer", m.peer_address},
                 {"instance", m.instance},
-                {"instance_started_at_ms", m.instance_started_at_ms}};
+                {"instance_started_at_ms", m.instance_started_at_ms},
+                {"link_mbps", m.link_mbps},
+                {"reaches_store", m.reaches_store}};
 }
 
 error bad_field(const char* field)
@@ -60,6 +62,16 @@
         return bad_field("instance_started_at_ms");
     }
     out.instance_started_at_ms = started->get<std::int64_t>();
+    const auto link = in.find("link_mbps");
+    if (link == in.end() || !link->is_number_unsigned()) {
+        return bad_field("link_mbps");
+    }
+    out.link_mbps = link->get<std::uint32_t>();
+    const auto reaches = in.find("reaches_store");
+    if (reaches == in.end() || !reaches->is_boolean()) {
+        return bad_field("reaches_store");
+    }
+    out.reaches_store = reaches->get<bool>();
     const auto state = in.find("state");
     if (state == in.end() || !state->is_string()) {
         return bad_field("state");
--- a/src/pomeloloft/sidecar/peers.cpp
+++ b/src/pomeloloft/sidecar/peers.cpp
@@ -21,7 +21,6 @@
 /// A peer that does not accept a connection in this time is passed over.
 constexpr milliseconds connect_timeout{300};
 constexpr milliseconds sync_timeout{1000};
-constexpr milliseconds config_timeout{2000};
 constexpr milliseconds inquiry_timeout{150};
 /// Time the peer's own time-out takes to arrive.
 constexpr milliseconds answer_margin{40};
@@ -102,8 +101,8 @@
 
 } // namespace
 
-peer_links::peer_links(net::event_loop& where, board& all, target_gate& own_gate, config_decoder decoder)
-    : loop(where), shared(all), gate(own_gate), decode(std::move(decoder)), pool(where, peer_pool_options())
+peer_links::peer_links(net::event_loop& where, board& all, target_gate& own_gate, config_feed& configs)
+    : loop(where), shared(all), gate(own_gate), feed(configs), pool(where, peer_pool_options())
 {}
 
 net::task<try_result> peer_links::forward(net::request& sent, const candidate& to, net::tcp::endpoint address,
@@ -153,7 +152,7 @@
         note_load(load, *report, steady_clock::now());
     }
     const auto version = answer[peer_header::config];
-    this->note_remote_config(node, address, {version.data(), version.size()});
+    this->feed.note_version(node, {version.data(), version.size()});
     const auto outcome = answer[peer_header::outcome];
     out.outcome = value_of(try_outcome_names, std::string_view(outcome.data(), outcome.size()))
                       .value_or(try_outcome::lost);
@@ -204,7 +203,7 @@
         co_return this->serve_sync(received);
     }
     if (received.target() == peer_header::config_path) {
-        co_return this->serve_config();
+        co_return this->feed.answer(received);
     }
     if (received.target() == peer_header::fence_path) {
         co_return this->serve_fence(received);
@@ -266,15 +265,6 @@
     return {net::make_response(net::http::status::ok, std::string(name_of(attempt_state_names, state)))};
 }
 
-net::reply peer_links::serve_config() const
-{
-    const auto held = this->shared.config.load();
-    if (!held) {
-        return {net::make_response(net::http::status::not_found)};
-    }
-    return {net::make_response(net::http::status::ok, held->text, "application/octet-stream")};
-}
-
 std::string peer_links::sync_body(bool whole, const std::optional<member>& earlier) const
 {
     sync_message out;
@@ -305,14 +295,7 @@
     }
     const std::optional<member> earlier = this->earlier_entry(message.value().members);
     this->take_members(message.value().members);
-    const member* sender = find_member(this->shared.members, message.value().node);
-    if (sender != nullptr) {
-        const auto address = net::parse_endpoint(sender->peer_address, "member " + sender->node);
-        if (address) {
-            this->note_remote_config(sender->node, address.value(),
-                                     std::to_string(message.value().config_version));
-        }
-    }
+    this->feed.note_version(message.value().node, std::to_string(message.value().config_version));
     const bool differs = combined_digest(this->shared.members) != message.value().digest;
     return {net::make_response(net::http::status::ok, this->sync_body(differs, earlier), "application/json")};
 }
@@ -410,7 +393,7 @@
         }
         this->heard = true;
         this->take_members(message.value().members);
-        this->note_remote_config(node, address, std::to_string(message.value().config_version));
+        this->feed.note_version(node, std::to_string(message.value().config_version));
         if (combined_digest(this->shared.members) == message.value().digest) {
             break;
         }
@@ -443,52 +426,4 @@
     }
 }
 
-void peer_links::note_remote_config(const std::string& node, net::tcp::endpoint address,
-                                    std::string_view version)
-{
-    const auto told = number_in<std::uint64_t>(version);
-    const auto held = this->shared.config.load();
-    if (!told || *told <= (held ? held->version : 0) || this->fetching) {
-        return;
-    }
-    this->fetching = true;
-    net::asio::co_spawn(this->loop, this->fetch_config(node, address), net::asio::detached);
-}
-
-net::task<void> peer_links::fetch_config(std::string node, net::tcp::endpoint address)
-{
-    const time_point deadline = steady_clock::now() + config_timeout;
-    auto connected = co_await this->pool.acquire(address, deadline);
-    if (!connected) {
-        this->fetching = false;
-        co_return;
-    }
-    net::request sent{net::http::verb::get, peer_header::config_path, 11};
-    net::exchange_options options;
-    options.deadline = deadline;
-    net::exchange_result ended = co_await net::exchange(*connected.value(), sent, options);
-    this->fetching = false;
-    if (ended.end != net::exchange_end::answered || ended.answer.result() != net::http::status::ok) {
-        co_return;
-    }
-    if (ended.reusable) {
-        this->pool.release(address, std::move(connected.value()));
-    }
-    const auto taken = this->take_config(ended.answer.body());
-    if (!taken) {
-        log_warning("config-ignored", {{"from", node}, {"reason", to_string(taken.error())}});
-    }
-}
-
-result<bool> peer_links::take_config(const std::string& text)
-{
-    BOOST_OUTCOME_TRY(auto table, this->decode(text));
-    const std::uint64_t version = table->version;
-    const bool adopted = adopt_config(this->shared, {version, text, std::move(table)});
-    if (adopted && this->on_config) {
-        this->on_config();
-    }
-    return adopted;
-}
-
 } // namespace pomeloloft::sidecar
