Exchange only member entries that differ, in groups by digest

Ruled out: configuration documents (0.026 GB), uploads. Also: the time of a body on the VM's own link counts in the choice of an endpoint.

--- a/include/pomeloloft/sidecar/choose.hpp
+++ b/include/pomeloloft/sidecar/choose.hpp
@@ -42,6 +42,8 @@
     milliseconds load_memory{1500};
     /// Added to the expected time of an endpoint on another VM, in milliseconds.
     double peer_ms = 1.0;
+    /// Added for each KB that a request carries to another VM: its time on the VM's link.
+    double peer_ms_per_kb = 0.008;
     /// Added for an endpoint in another data centre, for the network and what its bytes cost.
     double far_ms = 10.0;
     /// Added for each KB that a request carries to another data centre.
--- a/include/pomeloloft/sidecar/entry.hpp
+++ b/include/pomeloloft/sidecar/entry.hpp
@@ -14,9 +14,7 @@
 /// Routes the requests that begin on this VM. Belongs to one event loop.
 class entry_router {
 public:
-    entry_router(board& all, target_gate& own_gate, peer_links& links)
-        : shared(all), gate(own_gate), peers(links)
-    {}
+    entry_router(board& all, target_gate& own_gate, peer_links& links);
 
     /// Answers a caller's request.
     [[nodiscard]] net::task<net::reply> answer(net::request& received);
--- a/include/pomeloloft/sidecar/member_record.hpp
+++ b/include/pomeloloft/sidecar/member_record.hpp
@@ -1,11 +1,12 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "pomeloloft/base/error.hpp"
-#include "pomeloloft/mesh/member.hpp"
+#include "pomeloloft/mesh/member_table.hpp"
 
 namespace pomeloloft::sidecar {
 
@@ -20,10 +21,9 @@
     std::string node;
     std::uint64_t config_version = 0;
     std::uint64_t digest = 0;
-    /// All entries, or only the sender's.
     std::vector<member> members;
-    /// Whether `members` is the whole table.
-    bool whole = false;
+    /// Digests of the sender's groups of entries, where the other side is to answer with those that differ.
+    std::optional<table_digest> buckets;
 };
 
 /// A message as JSON.
--- a/include/pomeloloft/sidecar/peers.hpp
+++ b/include/pomeloloft/sidecar/peers.hpp
@@ -11,6 +11,7 @@
 #include "pomeloloft/sidecar/board.hpp"
 #include "pomeloloft/sidecar/config_feed.hpp"
 #include "pomeloloft/sidecar/gate.hpp"
+#include "pomeloloft/sidecar/member_record.hpp"
 #include "pomeloloft/traffic/attempt_registry.hpp"
 
 namespace pomeloloft::sidecar {
@@ -56,10 +57,14 @@
     net::task<net::reply> serve_forwarded(net::request& received);
     net::reply serve_sync(const net::request& received);
     net::reply serve_fence(const net::request& received);
-    net::task<bool> sync_with(std::string node, net::tcp::endpoint address);
+    net::task<std::optional<sync_message>> exchange_news(std::string node, net::tcp::endpoint address,
+                                                         sync_message news);
+    net::task<void> push_to(std::string node, net::tcp::endpoint address);
+    net::task<void> reconcile(std::string node, net::tcp::endpoint address);
+    [[nodiscard]] const member* random_peer() const;
     net::task<attempt_state> inquire(net::tcp::endpoint address, sent_attempt sent);
     net::task<try_result> settle_loss(net::tcp::endpoint address, sent_attempt sent, bool timed_out);
-    std::string sync_body(bool whole, const std::optional<member>& earlier = {}) const;
+    [[nodiscard]] sync_message own_news() const;
     /// The entry held of a sender's earlier process: it tells the sender what that process knew.
     std::optional<member> earlier_entry(const std::vector<member>& incoming) const;
 
--- a/src/pomeloloft/sidecar/choose.cpp
+++ b/src/pomeloloft/sidecar/choose.cpp
@@ -60,8 +60,11 @@
     const double wait = std::max(0.0, backlog + 1 - slots) * service / slots;
     const double busy = std::min(1.0, backlog / slots);
     double distance = c.own ? 0.0 : options.peer_ms;
+    const double kb = static_cast<double>(request.body_bytes) / bytes_per_kb;
+    if (!c.own) {
+        distance += options.peer_ms_per_kb * kb;
+    }
     if (!c.own && !c.same_data_centre) {
-        const double kb = static_cast<double>(request.body_bytes) / bytes_per_kb;
         distance += options.far_ms + options.far_ms_per_kb * kb;
     }
     return wait + service * (1.0 + options.busy_share * busy) + distance;
--- a/src/pomeloloft/sidecar/entry.cpp
+++ b/src/pomeloloft/sidecar/entry.cpp
@@ -98,6 +98,14 @@
     journey_state state;
 };
 
+entry_router::entry_router(board& all, target_gate& own_gate, peer_links& links)
+    : shared(all), gate(own_gate), peers(links)
+{
+    constexpr double kbit_per_kb = 8.0;
+    const double mbps = std::max(all.own.link_mbps, 1U);
+    this->options.peer_ms_per_kb = kbit_per_kb / mbps;
+}
+
 void entry_router::log_unserved(const net::request& received, const journey& j)
 {
     const time_point now = steady_clock::now();
--- a/src/pomeloloft/sidecar/member_record.cpp
+++ b/src/pomeloloft/sidecar/member_record.cpp
@@ -84,6 +84,24 @@
     return out;
 }
 
+/// The group digests of a message; nothing where they are left out or cannot be read.
+std::optional<table_digest> buckets_in(const json& in)
+{
+    const auto found = in.find("buckets");
+    if (found == in.end() || !found->is_array() || found->size() != digest_buckets) {
+        return std::nullopt;
+    }
+    table_digest out{};
+    for (std::size_t i = 0; i < digest_buckets; ++i) {
+        const json& bucket = (*found)[i];
+        if (!bucket.is_number_unsigned()) {
+            return std::nullopt;
+        }
+        out[i] = bucket.get<std::uint64_t>();
+    }
+    return out;
+}
+
 } // namespace
 
 std::string encode_member(const member& m)
@@ -106,12 +124,14 @@
     for (const member& m : message.members) {
         members.push_back(to_json(m));
     }
-    return json{{"node", message.node},
-                {"config", message.config_version},
-                {"digest", message.digest},
-                {"whole", message.whole},
-                {"members", std::move(members)}}
-        .dump();
+    json out{{"node", message.node},
+             {"config", message.config_version},
+             {"digest", message.digest},
+             {"members", std::move(members)}};
+    if (message.buckets) {
+        out["buckets"] = *message.buckets;
+    }
+    return out.dump();
 }
 
 result<sync_message> decode_sync(std::string_view text)
@@ -134,7 +154,7 @@
     out.node = node->get<std::string>();
     out.config_version = config->get<std::uint64_t>();
     out.digest = digest->get<std::uint64_t>();
-    out.whole = parsed.value("whole", false);
+    out.buckets = buckets_in(parsed);
     for (const json& entry : *members) {
         auto read = from_json(entry);
         if (!read) {
--- a/src/pomeloloft/sidecar/peers.cpp
+++ b/src/pomeloloft/sidecar/peers.cpp
@@ -27,6 +27,8 @@
 /// One exchange with a random peer in this time on average: a change that every push missed still arrives
 /// within a few of them.
 constexpr milliseconds sync_interval{1000};
+/// One exchange in so many may go to another data centre, where bytes are dear.
+constexpr std::uint64_t far_sync_one_in = 4;
 constexpr milliseconds max_gone_age{60'000};
 
 net::client_options peer_pool_options()
@@ -265,25 +267,15 @@
     return {net::make_response(net::http::status::ok, std::string(name_of(attempt_state_names, state)))};
 }
 
-std::string peer_links::sync_body(bool whole, const std::optional<member>& earlier) const
+sync_message peer_links::own_news() const
 {
     sync_message out;
     out.node = this->shared.own.node;
     const auto held = this->shared.config.load();
     out.config_version = held ? held->version : 0;
     out.digest = combined_digest(this->shared.members);
-    out.whole = whole;
-    if (whole) {
-        for (const auto& [node, entry] : this->shared.members.entries) {
-            out.members.push_back(entry.value);
-        }
-    } else {
-        out.members.push_back(this->shared.self);
-    }
-    if (earlier) {
-        out.members.push_back(*earlier);
-    }
-    return encode_sync(out);
+    out.members.push_back(this->shared.self);
+    return out;
 }
 
 net::reply peer_links::serve_sync(const net::request& received)
@@ -296,8 +288,16 @@
     const std::optional<member> earlier = this->earlier_entry(message.value().members);
     this->take_members(message.value().members);
     this->feed.note_version(message.value().node, std::to_string(message.value().config_version));
-    const bool differs = combined_digest(this->shared.members) != message.value().digest;
-    return {net::make_response(net::http::status::ok, this->sync_body(differs, earlier), "application/json")};
+    sync_message answer = this->own_news();
+    if (earlier) {
+        answer.members.push_back(*earlier);
+    }
+    if (message.value().buckets) {
+        const auto differing = entries_differing(this->shared.members, *message.value().buckets);
+        answer.members.insert(answer.members.end(), differing.begin(), differing.end());
+        answer.buckets = this->shared.members.digest;
+    }
+    return {net::make_response(net::http::status::ok, encode_sync(answer), "application/json")};
 }
 
 std::optional<member> peer_links::earlier_entry(const std::vector<member>& incoming) const
@@ -355,50 +355,74 @@
         }
         const auto address = net::parse_endpoint(entry.value.peer_address, "member " + node);
         if (address) {
-            net::asio::co_spawn(this->loop, this->sync_with(node, address.value()), net::asio::detached);
+            net::asio::co_spawn(this->loop, this->push_to(node, address.value()), net::asio::detached);
         }
     }
 }
 
-net::task<bool> peer_links::sync_with(std::string node, net::tcp::endpoint address)
+net::task<std::optional<sync_message>> peer_links::exchange_news(std::string node, net::tcp::endpoint address,
+                                                                sync_message news)
+{
+    const time_point deadline = steady_clock::now() + sync_timeout;
+    auto connected = co_await this->pool.acquire(address, deadline);
+    if (!connected) {
+        co_return std::nullopt;
+    }
+    net::request sent{net::http::verb::post, peer_header::sync_path, 11};
+    sent.body() = encode_sync(news);
+    sent.prepare_payload();
+    net::exchange_options options;
+    options.deadline = deadline;
+    net::exchange_result ended = co_await net::exchange(*connected.value(), sent, options);
+    if (ended.end != net::exchange_end::answered) {
+        this->pool.discard(address);
+        co_return std::nullopt;
+    }
+    if (ended.reusable) {
+        this->pool.release(address, std::move(connected.value()));
+    }
+    auto answer = decode_sync(ended.answer.body());
+    if (!answer) {
+        log_warning("sync-ignored", {{"from", node}, {"reason", to_string(answer.error())}});
+        co_return std::nullopt;
+    }
+    this->heard = true;
+    this->take_members(answer.value().members);
+    this->feed.note_version(node, std::to_string(answer.value().config_version));
+    co_return std::move(answer.value());
+}
+
+net::task<void> peer_links::push_to(std::string node, net::tcp::endpoint address)
 {
     struct under_way {
         std::uint32_t& count;
         explicit under_way(std::uint32_t& counted) : count(counted) { ++this->count; }
         ~under_way() { --this->count; }
     } counted(this->syncs_under_way);
-    for (bool whole : {false, true}) {
-        const time_point deadline = steady_clock::now() + sync_timeout;
-        auto connected = co_await this->pool.acquire(address, deadline);
-        if (!connected) {
-            co_return false;
-        }
-        net::request sent{net::http::verb::post, peer_header::sync_path, 11};
-        sent.body() = this->sync_body(whole);
-        sent.prepare_payload();
-        net::exchange_options options;
-        options.deadline = deadline;
-        net::exchange_result ended = co_await net::exchange(*connected.value(), sent, options);
-        if (ended.end != net::exchange_end::answered) {
-            this->pool.discard(address);
-            co_return false;
-        }
-        if (ended.reusable) {
-            this->pool.release(address, std::move(connected.value()));
-        }
-        const auto message = decode_sync(ended.answer.body());
-        if (!message) {
-            log_warning("sync-ignored", {{"from", node}, {"reason", to_string(message.error())}});
-            co_return false;
-        }
-        this->heard = true;
-        this->take_members(message.value().members);
-        this->feed.note_version(node, std::to_string(message.value().config_version));
-        if (combined_digest(this->shared.members) == message.value().digest) {
-            break;
-        }
+    sync_message news = this->own_news();
+    co_await this->exchange_news(node, address, std::move(news));
+}
+
+net::task<void> peer_links::reconcile(std::string node, net::tcp::endpoint address)
+{
+    sync_message news = this->own_news();
+    const auto first = co_await this->exchange_news(node, address, news);
+    if (!first || first->digest == combined_digest(this->shared.members)) {
+        co_return;
+    }
+    news = this->own_news();
+    news.buckets = this->shared.members.digest;
+    const auto second = co_await this->exchange_news(node, address, news);
+    if (!second || !second->buckets) {
+        co_return;
+    }
+    const auto lacking = entries_differing(this->shared.members, *second->buckets);
+    if (lacking.empty()) {
+        co_return;
     }
-    co_return true;
+    news = this->own_news();
+    news.members.insert(news.members.end(), lacking.begin(), lacking.end());
+    co_await this->exchange_news(node, address, news);
 }
 
 net::task<void> peer_links::keep_in_sync()
@@ -409,21 +433,34 @@
         purge_gone(this->shared.members, steady_clock::now() - max_gone_age);
         this->pool.sweep();
         this->gate.sweep();
-        std::vector<const member*> others;
-        for (const auto& [node, entry] : this->shared.members.entries) {
-            if (node != this->shared.own.node && entry.value.state != member_state::gone) {
-                others.push_back(&entry.value);
-            }
-        }
-        if (others.empty()) {
+        const member* chosen = this->random_peer();
+        if (chosen == nullptr) {
             continue;
         }
-        const member& chosen = *others[random_draw() % others.size()];
-        const auto address = net::parse_endpoint(chosen.peer_address, "member " + chosen.node);
+        const std::string node = chosen->node;
+        const auto address = net::parse_endpoint(chosen->peer_address, "member " + node);
         if (address) {
-            co_await this->sync_with(chosen.node, address.value());
+            co_await this->reconcile(node, address.value());
+        }
+    }
+}
+
+const member* peer_links::random_peer() const
+{
+    const bool near = random_draw() % far_sync_one_in != 0;
+    std::vector<const member*> near_peers;
+    std::vector<const member*> all;
+    for (const auto& [node, entry] : this->shared.members.entries) {
+        if (node == this->shared.own.node || entry.value.state == member_state::gone) {
+            continue;
+        }
+        all.push_back(&entry.value);
+        if (entry.value.data_centre == this->shared.own.data_centre) {
+            near_peers.push_back(&entry.value);
         }
     }
+    const auto& from = near && !near_peers.empty() ? near_peers : all;
+    return from.empty() ? nullptr : from[random_draw() % from.size()];
 }
 
 } // namespace pomeloloft::sidecar
