Count the wait for an endpoint's link in the choice

Ruled out: slots (20 of 135 busy), processor time. Each sidecar estimates the wait for its link from what passed in the last second and tells it with its load.

--- a/include/pomeloloft/sidecar/board.hpp
+++ b/include/pomeloloft/sidecar/board.hpp
@@ -11,6 +11,7 @@
 #include "pomeloloft/net/stream.hpp"
 #include "pomeloloft/routing/route_table.hpp"
 #include "pomeloloft/sidecar/choose.hpp"
+#include "pomeloloft/sidecar/link_meter.hpp"
 #include "pomeloloft/sidecar/settings.hpp"
 #include "pomeloloft/traffic/retry.hpp"
 
@@ -55,6 +56,7 @@
     std::unordered_map<std::string, endpoint_list> endpoints;
     std::unordered_map<std::string, std::unique_ptr<retry_budget>> budgets;
     request_counters counters;
+    link_meter link{own.link_mbps};
 };
 
 /// The configuration's routes; null before the first version.
--- a/include/pomeloloft/sidecar/choose.hpp
+++ b/include/pomeloloft/sidecar/choose.hpp
@@ -20,6 +20,8 @@
     std::uint32_t slots = 1;
     /// Smoothed time its target holds a slot, in microseconds; 0 when not known.
     std::uint32_t service_us = 0;
+    /// Expected wait for the link of its VM, in milliseconds.
+    std::uint32_t link_ms = 0;
     time_point told_at;
     /// Failures to reach it or its target in a row.
     std::uint32_t failures = 0;
@@ -91,6 +93,7 @@
     std::uint32_t waiting = 0;
     std::uint32_t slots = 1;
     std::uint32_t service_us = 0;
+    std::uint32_t link_ms = 0;
 };
 
 /// Takes in what an endpoint told.
--- a/include/pomeloloft/sidecar/entry.hpp
+++ b/include/pomeloloft/sidecar/entry.hpp
@@ -27,6 +27,8 @@
     net::task<net::response> route(net::request& received);
     net::task<net::response> serve(net::request& received, journey& j);
 
+    void log_failed_try(const net::request& received, const journey& j, const std::string& node,
+                        const try_result& ended);
     void log_unserved(const net::request& received, const journey& j);
 
     board& shared;
@@ -35,6 +37,7 @@
     routing::split_picker splits;
     choice_options options;
     line_limiter unserved_lines;
+    line_limiter failed_try_lines;
 };
 
 } // namespace pomeloloft::sidecar
--- a/include/pomeloloft/sidecar/gate.hpp
+++ b/include/pomeloloft/sidecar/gate.hpp
@@ -57,6 +57,8 @@
     net::response answer;
     /// Expected wait for a slot there.
     milliseconds wait{0};
+    /// What happened, for the log; empty where the outcome says it all.
+    std::string_view detail;
     /// The target's connection broke while it ran the request.
     bool broke_target = false;
 };
--- a/include/pomeloloft/sidecar/peer_headers.hpp
+++ b/include/pomeloloft/sidecar/peer_headers.hpp
@@ -25,7 +25,7 @@
 inline constexpr const char* outcome = "x-pomeloloft-outcome";
 /// Expected wait for a slot, in milliseconds.
 inline constexpr const char* wait = "x-pomeloloft-wait";
-/// `RUNNING WAITING SLOTS SERVICE_US`.
+/// `RUNNING WAITING SLOTS SERVICE_US LINK_MS`.
 inline constexpr const char* load = "x-pomeloloft-load";
 /// The sidecar that sends.
 inline constexpr const char* node = "x-pomeloloft-node";
--- a/src/pomeloloft/net/client.cpp
+++ b/src/pomeloloft/net/client.cpp
@@ -180,6 +180,10 @@
     if (sent.body().size() <= max_unwatched_body_bytes) {
         const auto [failed, count] = co_await http::async_write(on.stream, sent, use_task);
         written = !failed;
+        if (failed == beast::error::timeout) {
+            out.end = exchange_end::timed_out;
+            co_return out;
+        }
     } else {
         written = co_await write_watching(on, sent);
     }
--- a/src/pomeloloft/sidecar/choose.cpp
+++ b/src/pomeloloft/sidecar/choose.cpp
@@ -23,6 +23,13 @@
     return 1.0 + spread * (2.0 * draw - 1.0);
 }
 
+/// How much of what was told still counts.
+double freshness_of(const endpoint_load& load, time_point now, const choice_options& options)
+{
+    const auto age = static_cast<double>(remaining(now, load.told_at).count());
+    return std::max(0.0, 1.0 - age / static_cast<double>(options.load_memory.count()));
+}
+
 const candidate* best_of(const choice& request, const choice_options& options, bool avoided)
 {
     const candidate* best = nullptr;
@@ -45,9 +52,7 @@
 
 double believed_load(const endpoint_load& load, time_point now, const choice_options& options)
 {
-    const auto age = static_cast<double>(remaining(now, load.told_at).count());
-    const double freshness = std::max(0.0, 1.0 - age / static_cast<double>(options.load_memory.count()));
-    const double told = (load.told + load.sent_since) * freshness;
+    const double told = (load.told + load.sent_since) * freshness_of(load, now, options);
     return std::max<double>(load.in_flight, told);
 }
 
@@ -62,7 +67,7 @@
     double distance = c.own ? 0.0 : options.peer_ms;
     const double kb = static_cast<double>(request.body_bytes) / bytes_per_kb;
     if (!c.own) {
-        distance += options.peer_ms_per_kb * kb;
+        distance += options.peer_ms_per_kb * kb + load.link_ms * freshness_of(load, request.now, options);
     }
     if (!c.own && !c.same_data_centre) {
         distance += options.far_ms + options.far_ms_per_kb * kb;
@@ -96,6 +101,7 @@
     load.sent_since = 0;
     load.slots = std::max(told.slots, 1U);
     load.service_us = told.service_us;
+    load.link_ms = told.link_ms;
     load.told_at = now;
 }
 
--- a/src/pomeloloft/sidecar/entry.cpp
+++ b/src/pomeloloft/sidecar/entry.cpp
@@ -106,6 +106,25 @@
     this->options.peer_ms_per_kb = kbit_per_kb / mbps;
 }
 
+void entry_router::log_failed_try(const net::request& received, const journey& j, const std::string& node,
+                                  const try_result& ended)
+{
+    const time_point now = steady_clock::now();
+    if (!this->failed_try_lines.take(now)) {
+        return;
+    }
+    const auto id = received[this->shared.own.headers.request_id];
+    const auto waited = std::chrono::duration_cast<milliseconds>(now - j.started);
+    log_change("try-failed", {{"request", std::string_view(id.data(), id.size())},
+                              {"route", j.route->name},
+                              {"endpoint", node},
+                              {"outcome", name_of(try_outcome_names, ended.outcome)},
+                              {"detail", ended.detail},
+                              {"waited_ms", static_cast<std::int64_t>(waited.count())},
+                              {"arrivals", static_cast<std::uint64_t>(j.state.arrivals)},
+                              {"suppressed", this->failed_try_lines.take_suppressed()}});
+}
+
 void entry_router::log_unserved(const net::request& received, const journey& j)
 {
     const time_point now = steady_clock::now();
@@ -168,9 +187,11 @@
     received.version(11);
     received.prepare_payload();
     budget_of(this->shared, j.service).deposit();
+    this->shared.link.note(received.body().size(), j.started);
     net::response out = co_await this->serve(received, j);
     erase_hop_headers(out);
     out.prepare_payload();
+    this->shared.link.note(out.body().size(), steady_clock::now());
     co_return out;
 }
 
@@ -249,6 +270,9 @@
         const bool failed = ended.outcome == try_outcome::answered && is_server_error(ended.answer);
         least_wait = least_wait.count() == 0 ? ended.wait : std::min(least_wait, ended.wait);
         note_try(j.state, ended.outcome, failed);
+        if (ended.outcome != try_outcome::answered && ended.outcome != try_outcome::refused) {
+            this->log_failed_try(received, j, node, ended);
+        }
         if (ended.outcome == try_outcome::answered) {
             kept = std::move(ended.answer);
         }
--- a/src/pomeloloft/sidecar/gate.cpp
+++ b/src/pomeloloft/sidecar/gate.cpp
@@ -257,6 +257,7 @@
     }
     if (ended.end != net::exchange_end::answered) {
         out.outcome = try_outcome::lost;
+        out.detail = reused ? "reused connection to the target ended" : "connection to the target ended";
         out.broke_target = ended.end == net::exchange_end::lost && !ended.answer_begun && !reused;
         return out;
     }
@@ -271,6 +272,7 @@
     const bool whole = sent.method() == net::http::verb::head || !is_encoded(answer);
     if (success && (!whole || answer.find(names.signature) == answer.end())) {
         out.outcome = try_outcome::lost;
+        out.detail = "success without signature or with an encoding";
         return out;
     }
     out.outcome = try_outcome::answered;
--- a/src/pomeloloft/sidecar/peers.cpp
+++ b/src/pomeloloft/sidecar/peers.cpp
@@ -59,7 +59,8 @@
 std::string encode_load(const load_report& load)
 {
     return std::to_string(load.running) + ' ' + std::to_string(load.waiting) + ' ' +
-           std::to_string(load.slots) + ' ' + std::to_string(load.service_us);
+           std::to_string(load.slots) + ' ' + std::to_string(load.service_us) + ' ' +
+           std::to_string(load.link_ms);
 }
 
 std::optional<load_report> decode_load(std::string_view text)
@@ -67,7 +68,7 @@
     load_report out;
     const char* at = text.data();
     const char* end = at + text.size();
-    for (std::uint32_t* field : {&out.running, &out.waiting, &out.slots, &out.service_us}) {
+    for (std::uint32_t* field : {&out.running, &out.waiting, &out.slots, &out.service_us, &out.link_ms}) {
         while (at != end && *at == ' ') {
             ++at;
         }
@@ -115,6 +116,7 @@
     try_result out;
     auto connected = co_await this->pool.acquire(address, call.deadline);
     if (!connected) {
+        out.detail = "peer takes no connection";
         co_return out;
     }
     sent_attempt attempt;
@@ -143,6 +145,7 @@
         if (!call.idempotent) {
             out = co_await this->settle_loss(address, attempt, timed_out);
         }
+        out.detail = connected.value()->reused ? "reused connection to the peer ended" : "connection to the peer ended";
         co_return out;
     }
     if (ended.reusable) {
@@ -252,7 +255,10 @@
     out.answer.set(this->shared.own.headers.request_id, id);
     out.answer.set(peer_header::outcome, std::string(name_of(try_outcome_names, ended.outcome)));
     out.answer.set(peer_header::wait, std::to_string(ended.wait.count()));
-    out.answer.set(peer_header::load, encode_load(this->gate.report()));
+    this->shared.link.note(received.body().size() + out.answer.body().size(), steady_clock::now());
+    load_report report = this->gate.report();
+    report.link_ms = this->shared.link.wait_ms(steady_clock::now());
+    out.answer.set(peer_header::load, encode_load(report));
     out.answer.set(peer_header::config, std::to_string(held ? held->version : 0));
     co_return out;
 }
