Refuse requests that break each target that runs them; serve metrics

An answer clears a request, as targets crash for other reasons too. Test: sidecar_test a_request_that_breaks_targets_reaches_few (16 sends, then none reaches any).

--- a/include/pomeloloft/sidecar/board.hpp
+++ b/include/pomeloloft/sidecar/board.hpp
@@ -13,6 +13,7 @@
 #include "pomeloloft/sidecar/choose.hpp"
 #include "pomeloloft/sidecar/link_meter.hpp"
 #include "pomeloloft/sidecar/settings.hpp"
+#include "pomeloloft/sidecar/suspects.hpp"
 #include "pomeloloft/traffic/retry.hpp"
 
 namespace pomeloloft::sidecar {
@@ -34,6 +35,7 @@
     std::uint64_t not_found = 0;
     std::uint64_t redirected = 0;
     std::uint64_t retried = 0;
+    std::uint64_t quarantined = 0;
 };
 
 /// What the controllers and the request path of one process share. Belongs to one event loop; only the
@@ -57,6 +59,7 @@
     std::unordered_map<std::string, std::unique_ptr<retry_budget>> budgets;
     request_counters counters;
     link_meter link{own.link_mbps};
+    suspect_list suspects{suspect_options{}};
 };
 
 /// The configuration's routes; null before the first version.
--- a/include/pomeloloft/sidecar/daemon.hpp
+++ b/include/pomeloloft/sidecar/daemon.hpp
@@ -42,6 +42,9 @@
     /// Services known by the configuration.
     [[nodiscard]] bool knows_service(const std::string& name) const;
 
+    /// The metrics in the Prometheus text format.
+    [[nodiscard]] std::string metrics() const;
+
     /// The settings in force.
     [[nodiscard]] const settings& current() const { return this->shared.own; }
 
--- a/include/pomeloloft/sidecar/entry.hpp
+++ b/include/pomeloloft/sidecar/entry.hpp
@@ -27,6 +27,8 @@
     net::task<net::response> route(net::request& received);
     net::task<net::response> serve(net::request& received, journey& j);
 
+    [[nodiscard]] bool is_refused_as_suspect(const net::request& received, time_point now) const;
+    void note_suspicion(const net::request& received, const std::string& node, const try_result& ended);
     void log_failed_try(const net::request& received, const journey& j, const std::string& node,
                         const try_result& ended);
     void log_unserved(const net::request& received, const journey& j);
--- a/include/pomeloloft/sidecar/member_record.hpp
+++ b/include/pomeloloft/sidecar/member_record.hpp
@@ -7,6 +7,7 @@
 
 #include "pomeloloft/base/error.hpp"
 #include "pomeloloft/mesh/member_table.hpp"
+#include "pomeloloft/sidecar/suspects.hpp"
 
 namespace pomeloloft::sidecar {
 
@@ -22,6 +23,7 @@
     std::uint64_t config_version = 0;
     std::uint64_t digest = 0;
     std::vector<member> members;
+    std::vector<crash_sighting> sightings;
     /// Digests of the sender's groups of entries, where the other side is to answer with those that differ.
     std::optional<table_digest> buckets;
 };
--- a/include/pomeloloft/sidecar/peer_headers.hpp
+++ b/include/pomeloloft/sidecar/peer_headers.hpp
@@ -23,6 +23,8 @@
 
 /// `try_outcome` of a forwarded request.
 inline constexpr const char* outcome = "x-pomeloloft-outcome";
+/// `1` where the target's connection broke while it ran the request.
+inline constexpr const char* broke_target = "x-pomeloloft-broke-target";
 /// Expected wait for a slot, in milliseconds.
 inline constexpr const char* wait = "x-pomeloloft-wait";
 /// `RUNNING WAITING SLOTS SERVICE_US LINK_MS`.
--- a/include/pomeloloft/sidecar/peers.hpp
+++ b/include/pomeloloft/sidecar/peers.hpp
@@ -54,6 +54,7 @@
         std::string process;
     };
 
+    void take_sightings(const std::vector<crash_sighting>& seen);
     net::task<net::reply> serve_forwarded(net::request& received);
     net::reply serve_sync(const net::request& received);
     net::reply serve_fence(const net::request& received);
--- a/src/pomeloloft/routing/table_codec.cpp
+++ b/src/pomeloloft/routing/table_codec.cpp
@@ -179,8 +179,11 @@
     for (const route& r : delta.removed) {
         removed.push_back(json::array({r.host, r.prefix}));
     }
-    json out{{"base", delta.base_version}, {"version", delta.version},       {"hash", delta.hash},
-             {"changed", std::move(changed)}, {"removed", std::move(removed)},
+    json out{{"base", delta.base_version},
+             {"version", delta.version},
+             {"hash", delta.hash},
+             {"changed", std::move(changed)},
+             {"removed", std::move(removed)},
              {"limits", limits_to_json(delta.limits)}};
     if (delta.services_changed) {
         json services = json::array();
--- a/src/pomeloloft/routing/table_codec_test.cpp
+++ b/src/pomeloloft/routing/table_codec_test.cpp
@@ -37,16 +37,19 @@
     {"nothing but the version", [](route_table&) {}},
     {"a changed time-out", [](route_table& t) { t.routes[2].timeout = milliseconds(77); }},
     {"a removed route", [](route_table& t) { t.routes.erase(t.routes.begin() + 1); }},
-    {"an added route", [](route_table& t) {
+    {"an added route",
+     [](route_table& t) {
          t.routes.push_back(t.routes[0]);
          t.routes.back().prefix = "/new/";
      }},
-    {"a moved split", [](route_table& t) {
+    {"a moved split",
+     [](route_table& t) {
          t.services["geometry"] = {"geometry", "/health", 5};
          t.routes[0].split = {{"register", 90}, {"geometry", 10}};
      }},
     {"limits", [](route_table& t) { t.limits.max_body_bytes = 5; }},
-    {"all at once", [](route_table& t) {
+    {"all at once",
+     [](route_table& t) {
          t.routes.erase(t.routes.begin(), t.routes.begin() + 3);
          t.routes[0].priority = 9;
          t.limits.idle_timeout = milliseconds(1);
@@ -106,7 +109,8 @@
 
 BOOST_AUTO_TEST_CASE(what_is_no_delta_is_refused)
 {
-    for (const char* text : {"", "[]", "{}", R"({"base":1,"version":2,"hash":3,"changed":[[1]],"removed":[]})"}) {
+    for (const char* text :
+         {"", "[]", "{}", R"({"base":1,"version":2,"hash":3,"changed":[[1]],"removed":[]})"}) {
         BOOST_TEST(!decode_delta(text));
     }
 }
--- a/src/pomeloloft/sidecar/config_feed.cpp
+++ b/src/pomeloloft/sidecar/config_feed.cpp
@@ -118,7 +118,8 @@
 net::task<void> config_feed::follow()
 {
     while (!this->shared.stopping) {
-        const bool needed = this->shared.config.load() == nullptr || this->is_reader() || !this->hears_reader();
+        const bool needed =
+            this->shared.config.load() == nullptr || this->is_reader() || !this->hears_reader();
         if (!needed) {
             this->reading = false;
             co_await net::sleep_for(idle_poll);
@@ -291,7 +292,8 @@
     const auto base = std::find_if(this->history.begin(), this->history.end(),
                                    [from](const auto& table) { return table->version == from; });
     const routing::route_table empty;
-    const routing::table_delta delta = routing::make_delta(base == this->history.end() ? empty : **base, *held);
+    const routing::table_delta delta =
+        routing::make_delta(base == this->history.end() ? empty : **base, *held);
     return {net::make_response(net::http::status::ok, routing::encode_delta(delta), "application/json")};
 }
 
--- a/src/pomeloloft/sidecar/daemon.cpp
+++ b/src/pomeloloft/sidecar/daemon.cpp
@@ -9,6 +9,7 @@
 #include "pomeloloft/base/log_line.hpp"
 #include "pomeloloft/net/timer.hpp"
 #include "pomeloloft/sidecar/member_record.hpp"
+#include "pomeloloft/sidecar/metrics.hpp"
 #include "pomeloloft/sidecar/random.hpp"
 
 namespace pomeloloft::sidecar {
@@ -126,6 +127,11 @@
     return !this->shared.stopping && this->shared.config.load() != nullptr && this->shared.joined;
 }
 
+std::string sidecar_daemon::metrics() const
+{
+    return metrics_text(this->shared, this->gate);
+}
+
 bool sidecar_daemon::knows_service(const std::string& name) const
 {
     const auto table = routes_of(this->shared);
--- a/src/pomeloloft/sidecar/entry.cpp
+++ b/src/pomeloloft/sidecar/entry.cpp
@@ -19,6 +19,8 @@
 
 /// Told to callers that come while no configuration is known.
 constexpr milliseconds retry_after_no_config{500};
+/// Told to callers of a request that crashes targets; sightings are forgotten after a while.
+constexpr milliseconds retry_after_suspect{5000};
 /// Told to callers that come while the process ends: another sidecar can serve them at once.
 constexpr milliseconds retry_after_leaving{50};
 
@@ -78,6 +80,13 @@
     return out;
 }
 
+std::uint64_t fingerprint(const net::request& received)
+{
+    const auto host = received[http::field::host];
+    const auto target = received.target();
+    return fingerprint_of({host.data(), host.size()}, {target.data(), target.size()}, received.body());
+}
+
 bool is_server_error(const net::response& answer)
 {
     return to_status_class(answer.result()) == http::status_class::server_error;
@@ -106,6 +115,21 @@
     this->options.peer_ms_per_kb = kbit_per_kb / mbps;
 }
 
+bool entry_router::is_refused_as_suspect(const net::request& received, time_point now) const
+{
+    return !this->shared.suspects.empty() && this->shared.suspects.refuses(fingerprint(received), now);
+}
+
+void entry_router::note_suspicion(const net::request& received, const std::string& node,
+                                  const try_result& ended)
+{
+    if (ended.broke_target) {
+        this->shared.suspects.add({fingerprint(received), node}, steady_clock::now());
+    } else if (ended.outcome == try_outcome::answered && !this->shared.suspects.empty()) {
+        this->shared.suspects.clear(fingerprint(received));
+    }
+}
+
 void entry_router::log_failed_try(const net::request& received, const journey& j, const std::string& node,
                                   const try_result& ended)
 {
@@ -186,6 +210,10 @@
     received.set(names.caller_service, this->shared.own.service);
     received.version(11);
     received.prepare_payload();
+    if (this->is_refused_as_suspect(received, j.started)) {
+        ++this->shared.counters.quarantined;
+        co_return unavailable(retry_after_suspect);
+    }
     budget_of(this->shared, j.service).deposit();
     this->shared.link.note(received.body().size(), j.started);
     net::response out = co_await this->serve(received, j);
@@ -270,6 +298,7 @@
         const bool failed = ended.outcome == try_outcome::answered && is_server_error(ended.answer);
         least_wait = least_wait.count() == 0 ? ended.wait : std::min(least_wait, ended.wait);
         note_try(j.state, ended.outcome, failed);
+        this->note_suspicion(received, node, ended);
         if (ended.outcome != try_outcome::answered && ended.outcome != try_outcome::refused) {
             this->log_failed_try(received, j, node, ended);
         }
--- a/src/pomeloloft/sidecar/member_record.cpp
+++ b/src/pomeloloft/sidecar/member_record.cpp
@@ -84,6 +84,22 @@
     return out;
 }
 
+/// The sightings of a message; those that cannot be read are left out.
+std::vector<crash_sighting> sightings_in(const json& in)
+{
+    std::vector<crash_sighting> out;
+    const auto found = in.find("sightings");
+    if (found == in.end() || !found->is_array()) {
+        return out;
+    }
+    for (const json& seen : *found) {
+        if (seen.is_array() && seen.size() == 2 && seen[0].is_number_unsigned() && seen[1].is_string()) {
+            out.push_back({seen[0].get<std::uint64_t>(), seen[1].get<std::string>()});
+        }
+    }
+    return out;
+}
+
 /// The group digests of a message; nothing where they are left out or cannot be read.
 std::optional<table_digest> buckets_in(const json& in)
 {
@@ -128,6 +144,12 @@
              {"config", message.config_version},
              {"digest", message.digest},
              {"members", std::move(members)}};
+    if (!message.sightings.empty()) {
+        json& sightings = out["sightings"];
+        for (const crash_sighting& seen : message.sightings) {
+            sightings.push_back(json::array({seen.fingerprint, seen.node}));
+        }
+    }
     if (message.buckets) {
         out["buckets"] = *message.buckets;
     }
@@ -155,6 +177,7 @@
     out.config_version = config->get<std::uint64_t>();
     out.digest = digest->get<std::uint64_t>();
     out.buckets = buckets_in(parsed);
+    out.sightings = sightings_in(parsed);
     for (const json& entry : *members) {
         auto read = from_json(entry);
         if (!read) {
--- /dev/null
+++ b/src/pomeloloft/sidecar/metrics.cpp
@@ -0,0 +1,74 @@
+#include "pomeloloft/sidecar/metrics.hpp"
+
+#include <utility>
+#include <vector>
+
+#include <prometheus/metric_family.h>
+#include <prometheus/text_serializer.h>
+
+namespace pomeloloft::sidecar {
+namespace {
+
+prometheus::MetricFamily counter_family(const char* name, const char* help)
+{
+    prometheus::MetricFamily out;
+    out.name = name;
+    out.help = help;
+    out.type = prometheus::MetricType::Counter;
+    return out;
+}
+
+void add_counter(prometheus::MetricFamily& family, const char* label, const char* value, std::uint64_t count)
+{
+    prometheus::ClientMetric metric;
+    metric.label.push_back({label, value});
+    metric.counter.value = static_cast<double>(count);
+    family.metric.push_back(std::move(metric));
+}
+
+prometheus::MetricFamily gauge(const char* name, const char* help, double value)
+{
+    prometheus::MetricFamily out;
+    out.name = name;
+    out.help = help;
+    out.type = prometheus::MetricType::Gauge;
+    prometheus::ClientMetric metric;
+    metric.gauge.value = value;
+    out.metric.push_back(std::move(metric));
+    return out;
+}
+
+} // namespace
+
+std::string metrics_text(const board& b, const target_gate& gate)
+{
+    const request_counters& c = b.counters;
+    std::vector<prometheus::MetricFamily> families;
+    families.push_back(counter_family("pomeloloft_requests_total", "Callers' requests by outcome."));
+    add_counter(families.back(), "outcome", "answered", c.answered);
+    add_counter(families.back(), "outcome", "refused", c.refused);
+    add_counter(families.back(), "outcome", "failed", c.failed);
+    add_counter(families.back(), "outcome", "timed_out", c.timed_out);
+    add_counter(families.back(), "outcome", "not_found", c.not_found);
+    add_counter(families.back(), "outcome", "quarantined", c.quarantined);
+    families.push_back(counter_family("pomeloloft_tries_total", "Further tries of requests by reason."));
+    add_counter(families.back(), "reason", "redirected", c.redirected);
+    add_counter(families.back(), "reason", "retried", c.retried);
+    const load_report load = gate.report();
+    families.push_back(gauge("pomeloloft_target_running", "Requests at the target.", load.running));
+    families.push_back(gauge("pomeloloft_target_waiting", "Requests waiting for the target.", load.waiting));
+    families.push_back(
+        gauge("pomeloloft_target_slots", "Slots of the target; 0 while it is not used.", load.slots));
+    families.push_back(gauge("pomeloloft_target_service_microseconds",
+                             "Smoothed time a request holds a slot.", load.service_us));
+    const auto table = routes_of(b);
+    families.push_back(gauge("pomeloloft_config_version", "Version in force; 0 before the first.",
+                             table ? static_cast<double>(table->version) : 0));
+    families.push_back(
+        gauge("pomeloloft_members", "Sidecars known.", static_cast<double>(b.members.entries.size())));
+    families.push_back(gauge("pomeloloft_store_reached", "1 while the platform's store answers.",
+                             b.self.reaches_store ? 1 : 0));
+    return prometheus::TextSerializer{}.Serialize(families);
+}
+
+} // namespace pomeloloft::sidecar
--- a/src/pomeloloft/sidecar/peers.cpp
+++ b/src/pomeloloft/sidecar/peers.cpp
@@ -98,6 +98,7 @@
 {
     answer.erase(peer_header::outcome);
     answer.erase(peer_header::wait);
+    answer.erase(peer_header::broke_target);
     answer.erase(peer_header::load);
     answer.erase(peer_header::config);
 }
@@ -145,7 +146,8 @@
         if (!call.idempotent) {
             out = co_await this->settle_loss(address, attempt, timed_out);
         }
-        out.detail = connected.value()->reused ? "reused connection to the peer ended" : "connection to the peer ended";
+        out.detail = connected.value()->reused ? "reused connection to the peer ended"
+                                               : "connection to the peer ended";
         co_return out;
     }
     if (ended.reusable) {
@@ -161,6 +163,7 @@
     const auto outcome = answer[peer_header::outcome];
     out.outcome = value_of(try_outcome_names, std::string_view(outcome.data(), outcome.size()))
                       .value_or(try_outcome::lost);
+    out.broke_target = answer[peer_header::broke_target] == "1";
     out.wait = milliseconds(header_number<net::response, int>(answer, peer_header::wait, 0));
     erase_peer_headers(answer);
     out.answer = std::move(answer);
@@ -254,6 +257,9 @@
     const auto held = this->shared.config.load();
     out.answer.set(this->shared.own.headers.request_id, id);
     out.answer.set(peer_header::outcome, std::string(name_of(try_outcome_names, ended.outcome)));
+    if (ended.broke_target) {
+        out.answer.set(peer_header::broke_target, "1");
+    }
     out.answer.set(peer_header::wait, std::to_string(ended.wait.count()));
     this->shared.link.note(received.body().size() + out.answer.body().size(), steady_clock::now());
     load_report report = this->gate.report();
@@ -281,6 +287,7 @@
     out.config_version = held ? held->version : 0;
     out.digest = combined_digest(this->shared.members);
     out.members.push_back(this->shared.self);
+    out.sightings = this->shared.suspects.to_tell(steady_clock::now());
     return out;
 }
 
@@ -293,6 +300,7 @@
     }
     const std::optional<member> earlier = this->earlier_entry(message.value().members);
     this->take_members(message.value().members);
+    this->take_sightings(message.value().sightings);
     this->feed.note_version(message.value().node, std::to_string(message.value().config_version));
     sync_message answer = this->own_news();
     if (earlier) {
@@ -348,6 +356,14 @@
     }
 }
 
+void peer_links::take_sightings(const std::vector<crash_sighting>& seen)
+{
+    const time_point now = steady_clock::now();
+    for (const crash_sighting& sighting : seen) {
+        this->shared.suspects.add(sighting, now);
+    }
+}
+
 void peer_links::publish_self(member_state state)
 {
     member& self = this->shared.self;
@@ -367,7 +383,7 @@
 }
 
 net::task<std::optional<sync_message>> peer_links::exchange_news(std::string node, net::tcp::endpoint address,
-                                                                sync_message news)
+                                                                 sync_message news)
 {
     const time_point deadline = steady_clock::now() + sync_timeout;
     auto connected = co_await this->pool.acquire(address, deadline);
@@ -394,6 +410,7 @@
     }
     this->heard = true;
     this->take_members(answer.value().members);
+    this->take_sightings(answer.value().sightings);
     this->feed.note_version(node, std::to_string(answer.value().config_version));
     co_return std::move(answer.value());
 }
@@ -439,6 +456,7 @@
         purge_gone(this->shared.members, steady_clock::now() - max_gone_age);
         this->pool.sweep();
         this->gate.sweep();
+        this->shared.suspects.expire(steady_clock::now());
         const member* chosen = this->random_peer();
         if (chosen == nullptr) {
             continue;
--- a/src/pomeloloft/sidecar/policy_test.cpp
+++ b/src/pomeloloft/sidecar/policy_test.cpp
@@ -6,7 +6,9 @@
 
 #include "pomeloloft/sidecar/admission.hpp"
 #include "pomeloloft/sidecar/choose.hpp"
+#include "pomeloloft/sidecar/link_meter.hpp"
 #include "pomeloloft/sidecar/retry_policy.hpp"
+#include "pomeloloft/sidecar/suspects.hpp"
 
 namespace pomeloloft::sidecar {
 namespace {
@@ -204,6 +206,41 @@
     BOOST_TEST((load.avoid_until <= now));
 }
 
+BOOST_AUTO_TEST_CASE(a_request_that_breaks_each_target_is_refused_and_one_that_is_answered_is_not)
+{
+    const time_point now = steady_clock::now();
+    suspect_list suspects;
+    const std::uint64_t poison = fingerprint_of("shop.example", "/read/7", "");
+    const std::uint64_t bystander = fingerprint_of("shop.example", "/read/8", "");
+    for (const char* node : {"n1", "n1", "n2", "n3"}) {
+        BOOST_TEST(!suspects.refuses(poison, now));
+        suspects.add({poison, node}, now);
+        suspects.add({bystander, node}, now);
+        suspects.clear(bystander);
+    }
+    BOOST_TEST(suspects.refuses(poison, now));
+    BOOST_TEST(!suspects.refuses(bystander, now));
+    BOOST_TEST(suspects.to_tell(now).size() == 3U);
+    const time_point later = now + suspect_options{}.memory;
+    BOOST_TEST(!suspects.refuses(poison, later));
+    suspects.expire(later);
+    BOOST_TEST(suspects.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_link_that_is_nearly_full_makes_others_wait)
+{
+    const time_point now = steady_clock::now();
+    link_meter narrow(5);
+    link_meter wide(1000);
+    for (int i = 0; i < 9; ++i) {
+        narrow.note(60'000, now);
+        wide.note(60'000, now);
+    }
+    BOOST_TEST(narrow.wait_ms(now) > 100U);
+    BOOST_TEST(wide.wait_ms(now) == 0U);
+    BOOST_TEST(narrow.wait_ms(now + milliseconds(5000)) < 10U);
+}
+
 BOOST_AUTO_TEST_CASE(refused_callers_return_spread_around_the_expected_wait)
 {
     constexpr std::uint64_t draws = 200;
--- a/test/integration/sidecar_fleet.cpp
+++ b/test/integration/sidecar_fleet.cpp
@@ -114,7 +114,8 @@
          << "\nPOMELOLOFT_OUTBOUND=" << at.own.outbound_address << "\nPOMELOLOFT_PEER=" << at.own.peer_address
          << "\nPOMELOLOFT_READY=" << at.own.ready_address << "\nPOMELOLOFT_CONTROL=" << at.own.control_address
          << "\nPOMELOLOFT_STORE=" << this->store.address()
-         << "\nPOMELOLOFT_MEMORY_MB=260\nPOMELOLOFT_LINK_MBPS=1000\nPOMELOLOFT_DRAIN_MS=1000\nPOMELOLOFT_GRACE_S=6\n"
+         << "\nPOMELOLOFT_MEMORY_MB=260\nPOMELOLOFT_LINK_MBPS=1000\nPOMELOLOFT_DRAIN_MS=1000\nPOMELOLOFT_"
+            "GRACE_S=6\n"
          << "POMELOLOFT_RETRY_RATIO=0.2\nPOMELOLOFT_RETRY_RESERVE=62\nPOMELOLOFT_RETRY_WINDOW_S=10\n"
          << "POMELOLOFT_STORE_RECORD_BYTES=262144\n";
     file.close();
--- a/test/integration/sidecar_test.cpp
+++ b/test/integration/sidecar_test.cpp
@@ -280,6 +280,40 @@
     BOOST_TEST(fleet.fence(0, "") == 421);
 }
 
+BOOST_AUTO_TEST_CASE(a_request_that_breaks_targets_reaches_few_and_others_are_served)
+{
+    sidecar_fleet fleet(4);
+    for (sidecar_node& node : fleet.nodes) {
+        node.target->poison = "/read/poison";
+    }
+    const auto runs = [&fleet] {
+        int sum = 0;
+        for (const sidecar_node& node : fleet.nodes) {
+            for (const std::string& head : node.target->heads) {
+                sum += head.find("/read/poison") != std::string::npos ? 1 : 0;
+            }
+        }
+        return sum;
+    };
+    for (int i = 0; i < 16; ++i) {
+        caller_request poison = read_request("p" + std::to_string(i));
+        poison.path = "/read/poison";
+        BOOST_TEST(fleet.call(static_cast<std::size_t>(i) % 4, poison).status >= 500);
+        fleet.run_for(milliseconds(400));
+    }
+    // Sidecars hear of the sightings within a few exchanges; until then each may try it.
+    const int before = runs();
+    for (int i = 0; i < 8; ++i) {
+        caller_request poison = read_request("q" + std::to_string(i));
+        poison.path = "/read/poison";
+        BOOST_TEST(fleet.call(static_cast<std::size_t>(i) % 4, poison).status == 503);
+        BOOST_TEST(
+            fleet.call(static_cast<std::size_t>(i) % 4, read_request("ok" + std::to_string(i))).status ==
+            200);
+    }
+    BOOST_TEST(runs() == before);
+}
+
 BOOST_AUTO_TEST_CASE(work_for_a_caller_that_left_is_given_up)
 {
     sidecar_fleet fleet(1);
--- a/test/stand_ins/platform_target.cpp
+++ b/test/stand_ins/platform_target.cpp
@@ -134,7 +134,8 @@
     const std::string id = header_in(head, "X-Request-Id");
     const std::string length_text = header_in(head, "Content-Length");
     const std::size_t length = length_text.empty() ? 0 : std::stoul(length_text);
-    const target_mode now = this->mode;
+    const bool poisoned = !this->poison.empty() && head.find(' ' + this->poison + ' ') != std::string::npos;
+    const target_mode now = poisoned ? target_mode::breaks_off : this->mode;
     this->heads.push_back(head);
     while (now != target_mode::early_answer && buffer.size() < length) {
         std::array<char, 4096> more{};
--- a/test/stand_ins/platform_target.hpp
+++ b/test/stand_ins/platform_target.hpp
@@ -54,6 +54,8 @@
     std::string instance;
     milliseconds work{0};
     bool healthy = true;
+    /// Requests with this path break the connection whatever the mode; empty for none.
+    std::string poison;
     /// Most requests that ran at one time.
     int most_running = 0;
     /// Heads of the requests, as received.
