--- a/src/pomeloloft/cli/sidecar_commands.cpp
+++ b/src/pomeloloft/cli/sidecar_commands.cpp
@@ -1,7 +1,11 @@
 #include <csignal>
 #include <cstdlib>
+#include <filesystem>
 #include <iostream>
+#include <utility>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
 
 #include "platform/config_document.hpp"
@@ -10,6 +14,7 @@
 #include "platform/target_api.hpp"
 #include "pomeloloft/base/log_line.hpp"
 #include "pomeloloft/cli/command_list.hpp"
+#include "pomeloloft/net/timer.hpp"
 #include "pomeloloft/sidecar/daemon.hpp"
 
 namespace pomeloloft {
@@ -32,6 +37,22 @@
     daemon.reload(next.value().sidecar);
 }
 
+/// Notices a changed settings file that no signal announced.
+net::task<void> watch_settings(sidecar::sidecar_daemon& daemon, std::string path)
+{
+    constexpr milliseconds interval{2000};
+    std::error_code failed;
+    auto seen = std::filesystem::last_write_time(path, failed);
+    for (;;) {
+        co_await net::sleep_for(interval);
+        const auto changed = std::filesystem::last_write_time(path, failed);
+        if (!failed && changed != seen) {
+            seen = changed;
+            reload(daemon, path);
+        }
+    }
+}
+
 void wait_for_signal(signal_set& signals, sidecar::sidecar_daemon& daemon, const std::string& path)
 {
     signals.async_wait([&signals, &daemon, &path](const net::error_code& failed, int number) {
@@ -84,6 +105,7 @@
     }
     signal_set signals(loop, SIGTERM, SIGINT, SIGHUP);
     wait_for_signal(signals, daemon, path);
+    net::asio::co_spawn(loop, watch_settings(daemon, path), net::asio::detached);
     log_change("started", {{"service", own.service}, {"data_centre", own.data_centre}});
     loop.run();
     return to_int(exit_code::ok);
--- a/src/pomeloloft/sidecar/daemon.cpp
+++ b/src/pomeloloft/sidecar/daemon.cpp
@@ -360,6 +360,7 @@
     this->shared.own.drain = next.drain;
     this->shared.own.grace = next.grace;
     this->shared.own.retries = next.retries;
+    this->shared.budgets.clear();
     log_change("settings-reloaded");
 }
 
--- a/test/integration/sidecar_fleet.cpp
+++ b/test/integration/sidecar_fleet.cpp
@@ -123,6 +123,11 @@
         POMELOLOFT_BINARY, std::vector<std::string>{"sidecar", path + ".env"}, path + ".log");
 }
 
+void sidecar_fleet::append_settings(std::size_t node, const std::string& lines) const
+{
+    std::ofstream(this->directory + "/" + this->nodes[node].own.node + ".env", std::ios::app) << lines;
+}
+
 std::string sidecar_fleet::log_of(std::size_t node) const
 {
     std::ifstream file(this->directory + "/" + this->nodes[node].own.node + ".log");
--- a/test/integration/sidecar_fleet.hpp
+++ b/test/integration/sidecar_fleet.hpp
@@ -82,6 +82,9 @@
     /// Starts a node's sidecar, which must not run.
     void start(std::size_t node);
 
+    /// Adds lines to a node's settings file.
+    void append_settings(std::size_t node, const std::string& lines) const;
+
     /// What a node's sidecars have logged.
     [[nodiscard]] std::string log_of(std::size_t node) const;
 
--- a/test/integration/sidecar_test.cpp
+++ b/test/integration/sidecar_test.cpp
@@ -58,10 +58,52 @@
     {target_mode::garbage, "sends garbage", 502, 502, 1},
 };
 
+/// What the store does while a sidecar starts and a version comes.
+struct outage_row {
+    store_mode mode;
+    const char* name;
+};
+
+std::ostream& operator<<(std::ostream& out, const outage_row& row)
+{
+    return out << row.name;
+}
+
+const outage_row outage_rows[] = {
+    {store_mode::busy, "busy"},
+    {store_mode::reset, "resets connections"},
+    {store_mode::loses_answers, "loses answers"},
+    {store_mode::silent, "is silent"},
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(sidecars)
 
+BOOST_DATA_TEST_CASE(an_outage_of_the_store_delays_but_loses_nothing,
+                     boost::unit_test::data::make(outage_rows))
+{
+    sidecar_fleet fleet(2);
+    fleet.store.mode = sample.mode;
+    fleet.nodes[1].process->kill();
+    fleet.start(1);
+    fleet.run_for(milliseconds(300));
+    caller_request added = read_request("added");
+    added.path = "/added/1";
+    fleet.configure(2, R"(,{"Name":"added","Host":"shop.example","PathPrefix":"/added/",)"
+                       R"("RouteType":"idempotent","TimeoutMs":500,"Service":"register"})");
+    fleet.run_for(milliseconds(700));
+    // What is held goes on being served.
+    BOOST_TEST(fleet.call(0, read_request("during")).status == 200);
+    fleet.store.mode = store_mode::healthy;
+    for (std::size_t node = 0; node < 2; ++node) {
+        BOOST_TEST(
+            fleet.run_until([&] { return fleet.call(node, added).status == 200; }, milliseconds(5000)));
+        // Callers come back once the restarted sidecar has joined, a retry after the store's return.
+        BOOST_TEST(fleet.run_until([&] { return fleet.readiness(node) == 200; }, milliseconds(3000)));
+    }
+}
+
 BOOST_DATA_TEST_CASE(callers_get_the_whole_answer_or_a_true_failure, boost::unit_test::data::make(mood_rows))
 {
     sidecar_fleet fleet(1);
@@ -258,6 +300,21 @@
     BOOST_TEST(fleet.log_of(0).find("unfinished=0") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(settings_are_read_again_with_and_without_a_signal_and_faulty_ones_change_nothing)
+{
+    sidecar_fleet fleet(2);
+    const auto logs = [&fleet](std::size_t node, const char* event) {
+        return [&fleet, node, event] { return fleet.log_of(node).find(event) != std::string::npos; };
+    };
+    fleet.append_settings(0, "OTHER=1\n");
+    fleet.nodes[0].process->signal(SIGHUP);
+    BOOST_TEST(fleet.run_until(logs(0, "settings-reloaded"), milliseconds(1000)));
+    fleet.append_settings(1, "no equals sign\n");
+    BOOST_TEST(fleet.run_until(logs(1, "reload-failed")));
+    BOOST_TEST(fleet.log_of(1).find("settings-reloaded") == std::string::npos);
+    BOOST_TEST(fleet.call(1, read_request("after")).status == 200);
+}
+
 BOOST_AUTO_TEST_CASE(foreign_heartbeats_name_no_target_and_the_others_hold)
 {
     sidecar_fleet fleet(1);
