--- a/include/pomeloloft/sidecar/choose.hpp
+++ b/include/pomeloloft/sidecar/choose.hpp
@@ -47,7 +47,7 @@
     /// Added for each KB that a request carries to another VM: its time on the VM's link.
     double peer_ms_per_kb = 0.008;
     /// Added for an endpoint in another data centre, for the network and what its bytes cost.
-    double far_ms = 25.0;
+    double far_ms = 60.0;
     /// Added for each KB that a request carries to another data centre.
     double far_ms_per_kb = 2.0;
     /// Assumed service time where none is known.
