--- a/src/pomeloloft/cli/sidecar_commands.cpp
+++ b/src/pomeloloft/cli/sidecar_commands.cpp
@@ -4,8 +4,6 @@
 #include <iostream>
 #include <utility>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
 
 #include "platform/config_document.hpp"
@@ -14,6 +12,7 @@
 #include "platform/target_api.hpp"
 #include "pomeloloft/base/log_line.hpp"
 #include "pomeloloft/cli/command_list.hpp"
+#include "pomeloloft/net/spawn.hpp"
 #include "pomeloloft/net/timer.hpp"
 #include "pomeloloft/sidecar/daemon.hpp"
 
@@ -105,7 +104,7 @@
     }
     signal_set signals(loop, SIGTERM, SIGINT, SIGHUP);
     wait_for_signal(signals, daemon, path);
-    net::asio::co_spawn(loop, watch_settings(daemon, path), net::asio::detached);
+    net::spawn(loop, watch_settings(daemon, path), "watch-settings");
     log_change("started", {{"service", own.service}, {"data_centre", own.data_centre}});
     loop.run();
     return to_int(exit_code::ok);
--- a/src/pomeloloft/net/server.cpp
+++ b/src/pomeloloft/net/server.cpp
@@ -1,13 +1,12 @@
 #include "pomeloloft/net/server.hpp"
 
-#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
-#include "pomeloloft/base/log_line.hpp"
+#include "pomeloloft/net/spawn.hpp"
 #include "pomeloloft/net/timer.hpp"
 
 namespace pomeloloft::net {
@@ -18,18 +17,6 @@
 using request_parser = http::request_parser<http::string_body>;
 constexpr int listen_backlog = 1024;
 
-void log_failure(std::exception_ptr thrown)
-{
-    if (!thrown) {
-        return;
-    }
-    try {
-        std::rethrow_exception(thrown);
-    } catch (const std::exception& e) {
-        log_warning("connection-failed", {{"reason", e.what()}});
-    }
-}
-
 /// Counts a request for as long as it is being answered.
 class active_scope {
 public:
@@ -166,7 +153,7 @@
         return error{pomeloloft::error_code::unavailable, setting,
                      "cannot listen on " + address + ": " + failed.message()};
     }
-    asio::co_spawn(loop, accept(self), log_failure);
+    spawn(loop, accept(self), "accept");
     return self;
 }
 
@@ -190,7 +177,7 @@
         const auto [failed] = co_await self->acceptor.async_accept(stream.socket(), use_task);
         if (!failed) {
             configure_socket(stream, {});
-            asio::co_spawn(self->loop, serve(self, std::move(stream)), log_failure);
+            spawn(self->loop, serve(self, std::move(stream)), "connection");
             continue;
         }
         if (failed == asio::error::operation_aborted) {
--- /dev/null
+++ b/src/pomeloloft/net/spawn.cpp
@@ -0,0 +1,26 @@
+#include "pomeloloft/net/spawn.hpp"
+
+#include <exception>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+
+#include "pomeloloft/base/log_line.hpp"
+
+namespace pomeloloft::net {
+
+void spawn(event_loop& loop, task<void> work, const char* name)
+{
+    asio::co_spawn(loop, std::move(work), [name](std::exception_ptr thrown) {
+        if (!thrown) {
+            return;
+        }
+        try {
+            std::rethrow_exception(thrown);
+        } catch (const std::exception& e) {
+            log_warning("task-failed", {{"task", name}, {"reason", e.what()}});
+        }
+    });
+}
+
+} // namespace pomeloloft::net
--- a/src/pomeloloft/sidecar/config_feed.cpp
+++ b/src/pomeloloft/sidecar/config_feed.cpp
@@ -1,15 +1,13 @@
 #include "pomeloloft/sidecar/config_feed.hpp"
 
 #include <algorithm>
-#include <charconv>
 #include <optional>
 #include <tuple>
 #include <utility>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include "pomeloloft/base/log_line.hpp"
+#include "pomeloloft/base/parse_number.hpp"
+#include "pomeloloft/net/spawn.hpp"
 #include "pomeloloft/net/timer.hpp"
 #include "pomeloloft/routing/table_codec.hpp"
 #include "pomeloloft/sidecar/peer_headers.hpp"
@@ -33,16 +31,6 @@
 /// Versions kept for deltas: more than come while a node fetches one.
 constexpr std::size_t max_history = 8;
 
-std::optional<std::uint64_t> number_in(std::string_view text)
-{
-    std::uint64_t value = 0;
-    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (parsed.ec != std::errc{} || parsed.ptr != text.data() + text.size()) {
-        return std::nullopt;
-    }
-    return value;
-}
-
 std::string_view text_of(const net::request& received, const char* name)
 {
     const auto text = received[name];
@@ -202,7 +190,7 @@
         }
         const auto address = net::parse_endpoint(m.peer_address, "member " + node);
         if (address) {
-            net::asio::co_spawn(this->loop, this->tell(node, address.value(), delta), net::asio::detached);
+            net::spawn(this->loop, this->tell(node, address.value(), delta), "tell");
         }
     }
 }
@@ -250,7 +238,8 @@
     const auto held = routes_of(this->shared);
     const std::string node(text_of(received, peer_header::node));
     if (received.method() == net::http::verb::get) {
-        return this->serve_delta(number_in(text_of(received, peer_header::config)).value_or(0));
+        return this->serve_delta(
+            parse_number<std::uint64_t>(text_of(received, peer_header::config)).value_or(0));
     }
     this->confirmed_at[node] = steady_clock::now();
     if (!received.body().empty()) {
@@ -299,13 +288,13 @@
 
 void config_feed::note_version(const std::string& node, std::string_view version)
 {
-    const auto told = number_in(version);
+    const auto told = parse_number<std::uint64_t>(version);
     const auto held = routes_of(this->shared);
     if (!told || *told <= (held ? held->version : 0) || this->catching_up) {
         return;
     }
     this->catching_up = true;
-    net::asio::co_spawn(this->loop, this->catch_up(node), net::asio::detached);
+    net::spawn(this->loop, this->catch_up(node), "catch-up");
 }
 
 net::task<void> config_feed::catch_up(std::string node)
--- a/src/pomeloloft/sidecar/daemon.cpp
+++ b/src/pomeloloft/sidecar/daemon.cpp
@@ -3,10 +3,10 @@
 #include <algorithm>
 #include <utility>
 
-#include <boost/asio/co_spawn.hpp>
 #include <nlohmann/json.hpp>
 
 #include "pomeloloft/base/log_line.hpp"
+#include "pomeloloft/net/spawn.hpp"
 #include "pomeloloft/net/timer.hpp"
 #include "pomeloloft/sidecar/member_record.hpp"
 #include "pomeloloft/sidecar/metrics.hpp"
@@ -44,18 +44,6 @@
 constexpr milliseconds kill_margin{400};
 constexpr milliseconds stop_poll{50};
 
-void log_controller_end(std::exception_ptr thrown)
-{
-    if (!thrown) {
-        return;
-    }
-    try {
-        std::rethrow_exception(thrown);
-    } catch (const std::exception& e) {
-        log_warning("controller-ended", {{"reason", e.what()}});
-    }
-}
-
 std::string encode_left(const instance_key& left)
 {
     return nlohmann::json{{"instance", left.id}, {"started_at_ms", left.started_at_ms}}.dump();
@@ -111,14 +99,14 @@
         this->publish();
         if (!reachable && !this->reconnecting) {
             this->reconnecting = true;
-            net::asio::co_spawn(this->loop, this->reconnect_target(), log_controller_end);
+            net::spawn(this->loop, this->reconnect_target(), "reconnect-target");
         }
     };
-    net::asio::co_spawn(this->loop, this->feed.follow(), log_controller_end);
-    net::asio::co_spawn(this->loop, this->feed.confirm(), log_controller_end);
-    net::asio::co_spawn(this->loop, this->join(), log_controller_end);
-    net::asio::co_spawn(this->loop, this->find_target(), log_controller_end);
-    net::asio::co_spawn(this->loop, this->peers.keep_in_sync(), log_controller_end);
+    net::spawn(this->loop, this->feed.follow(), "follow-config");
+    net::spawn(this->loop, this->feed.confirm(), "confirm-config");
+    net::spawn(this->loop, this->join(), "join");
+    net::spawn(this->loop, this->find_target(), "find-target");
+    net::spawn(this->loop, this->peers.keep_in_sync(), "keep-in-sync");
     return success();
 }
 
@@ -371,7 +359,7 @@
     }
     log_change("stopping");
     this->shared.stopping = true;
-    net::asio::co_spawn(this->loop, this->shut_down(), log_controller_end);
+    net::spawn(this->loop, this->shut_down(), "shut-down");
 }
 
 net::task<void> sidecar_daemon::shut_down()
--- a/src/pomeloloft/sidecar/peers.cpp
+++ b/src/pomeloloft/sidecar/peers.cpp
@@ -5,11 +5,10 @@
 #include <random>
 #include <utility>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include "pomeloloft/base/hash.hpp"
 #include "pomeloloft/base/log_line.hpp"
+#include "pomeloloft/base/parse_number.hpp"
+#include "pomeloloft/net/spawn.hpp"
 #include "pomeloloft/net/timer.hpp"
 #include "pomeloloft/sidecar/member_record.hpp"
 #include "pomeloloft/sidecar/peer_headers.hpp"
@@ -38,22 +37,11 @@
     return out;
 }
 
-template <typename Number>
-std::optional<Number> number_in(std::string_view text)
-{
-    Number value = 0;
-    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (parsed.ec != std::errc{} || parsed.ptr != text.data() + text.size()) {
-        return std::nullopt;
-    }
-    return value;
-}
-
 template <typename Message, typename Number>
 Number header_number(const Message& message, const char* name, Number otherwise)
 {
     const auto text = message[name];
-    return number_in<Number>({text.data(), text.size()}).value_or(otherwise);
+    return parse_number<Number>({text.data(), text.size()}).value_or(otherwise);
 }
 
 std::string encode_load(const load_report& load)
@@ -377,7 +365,7 @@
         }
         const auto address = net::parse_endpoint(entry.value.peer_address, "member " + node);
         if (address) {
-            net::asio::co_spawn(this->loop, this->push_to(node, address.value()), net::asio::detached);
+            net::spawn(this->loop, this->push_to(node, address.value()), "push");
         }
     }
 }
