--- a/test/integration/sidecar_fleet.cpp
+++ b/test/integration/sidecar_fleet.cpp
@@ -3,6 +3,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iterator>
+#include <stdexcept>
 #include <unistd.h>
 #include <utility>
 
@@ -19,11 +20,26 @@
 /// Time in which sidecars hear of each other.
 constexpr milliseconds news_time{200};
 
-/// A free port; another process may take it before it is used, which shows as a failed start.
+/// Listening ports are taken below those that the system gives to outgoing connections: such a connection
+/// could take a port between this search and the sidecar's start.
+constexpr int first_port = 12'000;
+constexpr int port_count = 20'000;
+constexpr int ports_per_process = 97;
+
+/// A port that nothing listens on.
 std::string free_address(net::event_loop& loop)
 {
-    net::tcp_acceptor probe(loop, net::tcp::endpoint(net::asio::ip::make_address("127.0.0.1"), 0));
-    return "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
+    static int next = static_cast<int>(::getpid()) * ports_per_process;
+    for (;;) {
+        const int port = first_port + next++ % port_count;
+        net::tcp_acceptor probe(loop);
+        net::error_code taken;
+        probe.open(net::tcp::v4(), taken);
+        probe.bind({net::asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(port)}, taken);
+        if (!taken) {
+            return "127.0.0.1:" + std::to_string(port);
+        }
+    }
 }
 
 net::task<void> send_call(net::event_loop& loop, std::string address, caller_request request,
@@ -93,6 +109,11 @@
         this->run_until([this, i] { return this->readiness(i) == 200; });
     }
     this->run_for(news_time);
+    for (std::size_t i = 0; i < size; ++i) {
+        if (!this->nodes[i].process->running()) {
+            throw std::runtime_error("a sidecar did not start: " + this->log_of(i));
+        }
+    }
 }
 
 sidecar_fleet::~sidecar_fleet()
