Close the gate at once to a target whose leave is learned late

Cause, found on a second reading: a restarted sidecar that found its target by a health check and then learned that it had left went on dispatching, as no closing time was set. The check added to a_leave_learned_after_the_health_check failed first.

--- a/src/pomeloloft/sidecar/target.cpp
+++ b/src/pomeloloft/sidecar/target.cpp
@@ -47,7 +47,9 @@
         target.left.pop_front();
     }
     if (target.state == target_state::serving && is_same_start(target.instance, instance)) {
+        // Its time was counted from an acknowledgement before this process started.
         target.state = target_state::leaving;
+        target.closed_at = {};
     }
 }
 
--- a/src/pomeloloft/sidecar/target_test.cpp
+++ b/src/pomeloloft/sidecar/target_test.cpp
@@ -90,6 +90,7 @@
     BOOST_TEST(apply_health(target, "a", 4));
     note_left(target, {"a", 100});
     BOOST_TEST((target.state == target_state::leaving));
+    BOOST_TEST(!may_dispatch(target, steady_clock::now()));
 }
 
 BOOST_AUTO_TEST_CASE(a_report_confirms_a_target_found_by_its_health_check)
