--- a/include/pomeloloft/net/client.hpp
+++ b/include/pomeloloft/net/client.hpp
@@ -49,6 +49,14 @@
     /// An idle connection, or a new one.
     [[nodiscard]] task<result<connection_ptr>> acquire(tcp::endpoint address, time_point deadline);
 
+    /// The same, passing over connections that were idle for longer than `max_idle`.
+    [[nodiscard]] task<result<connection_ptr>> acquire(tcp::endpoint address, time_point deadline,
+                                                       milliseconds max_idle);
+
+    /// Sends a request and returns its whole answer, whatever its status. After a failure all idle
+    /// connections to the address are closed, as they may have ended with the one that was used.
+    [[nodiscard]] task<result<response>> call(tcp::endpoint address, request sent, time_point deadline);
+
     /// Keeps a connection for reuse.
     void release(const tcp::endpoint& address, connection_ptr used);
 
@@ -58,14 +66,10 @@
     /// Closes connections past their idle time.
     void sweep();
 
-    /// Connections opened.
-    [[nodiscard]] std::uint64_t opened() const { return this->opened_count; }
-
 private:
     event_loop& loop;
     client_options options;
     std::map<tcp::endpoint, std::vector<connection_ptr>> idle;
-    std::uint64_t opened_count = 0;
 };
 
 /// How an exchange ended.
--- a/include/pomeloloft/net/stream.hpp
+++ b/include/pomeloloft/net/stream.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <string_view>
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
@@ -62,6 +63,17 @@
 /// Whether an idle connection is still open and has nothing to be read.
 [[nodiscard]] bool is_idle_and_open(tcp_stream& stream);
 
+/// Whether reading a message failed because the remote broke the protocol, not because it ended.
+[[nodiscard]] bool is_malformed(const error_code& failed);
+
+/// The value of a header, valid as long as the message is unchanged; empty where it is missing.
+template <typename Message, typename Name>
+[[nodiscard]] std::string_view header_text(const Message& message, const Name& name)
+{
+    const auto text = message[name];
+    return {text.data(), text.size()};
+}
+
 /// A response with a short text body.
 [[nodiscard]] response make_response(http::status status, std::string body = {},
                                      const char* content_type = "text/plain");
--- a/include/pomeloloft/sidecar/board.hpp
+++ b/include/pomeloloft/sidecar/board.hpp
@@ -27,7 +27,6 @@
 
 /// Counters of the request path.
 struct request_counters {
-    std::uint64_t received = 0;
     std::uint64_t answered = 0;
     std::uint64_t refused = 0;
     std::uint64_t failed = 0;
@@ -65,6 +64,12 @@
 /// The configuration's routes; null before the first version.
 [[nodiscard]] std::shared_ptr<const routing::route_table> routes_of(const board& b);
 
+/// The version in force; 0 before the first.
+[[nodiscard]] std::uint64_t config_version(const board& b);
+
+/// The other nodes that are not known to be gone.
+[[nodiscard]] std::vector<const member*> other_members(const board& b);
+
 /// Takes in a configuration unless it is older than the one held.
 /// @return whether it is now in force.
 bool adopt_config(board& b, std::shared_ptr<const routing::route_table> next);
--- a/include/pomeloloft/sidecar/config_feed.hpp
+++ b/include/pomeloloft/sidecar/config_feed.hpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "pomeloloft/net/client.hpp"
@@ -28,7 +29,9 @@
 /// changed; a node that hears of no reader reads the store itself. Belongs to one event loop.
 class config_feed {
 public:
-    config_feed(net::event_loop& where, board& all, shared_store& platform_store, config_decoder decoder);
+    /// @param peers connections to the other sidecars.
+    config_feed(net::event_loop& where, board& all, shared_store& platform_store, config_decoder decoder,
+                net::client_pool& peers);
 
     /// Reads the store while it is this node's turn.
     [[nodiscard]] net::task<void> follow();
@@ -59,6 +62,8 @@
     void set_reached(bool reached, const std::string& reason);
     void adopt(std::shared_ptr<const routing::route_table> table);
     void push(const std::string& delta);
+    /// A request on the path for configurations that tells which version this node holds.
+    [[nodiscard]] net::request make_request(net::http::verb method) const;
     net::task<void> tell(std::string node, net::tcp::endpoint address, std::string delta);
     net::task<void> catch_up(std::string node);
     net::task<bool> fetch_from(std::string node);
@@ -69,7 +74,7 @@
     board& shared;
     shared_store& store;
     config_decoder decode;
-    net::client_pool pool;
+    net::client_pool& pool;
     /// Versions held before, for deltas; oldest first.
     std::deque<std::shared_ptr<const routing::route_table>> history;
     /// When a reader of this data centre was last heard, by node.
--- a/include/pomeloloft/sidecar/daemon.hpp
+++ b/include/pomeloloft/sidecar/daemon.hpp
@@ -45,15 +45,13 @@
     /// The metrics in the Prometheus text format.
     [[nodiscard]] std::string metrics() const;
 
-    /// The settings in force.
-    [[nodiscard]] const settings& current() const { return this->shared.own; }
-
 private:
     net::task<void> join();
     net::task<bool> register_self();
     net::task<void> find_target();
     net::task<void> reconnect_target();
     net::task<bool> keep_leave();
+    void begin_leave();
     net::task<void> shut_down();
     void publish();
     /// Whether what was known of the target before this process started has been asked for.
@@ -66,6 +64,7 @@
     board shared;
     std::unique_ptr<shared_store> store;
     target_gate gate;
+    net::client_pool peer_pool;
     config_feed feed;
     peer_links peers;
     entry_router entry;
--- a/include/pomeloloft/sidecar/entry.hpp
+++ b/include/pomeloloft/sidecar/entry.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <functional>
+#include <optional>
 #include <string>
 
 #include "pomeloloft/base/line_limiter.hpp"
@@ -8,6 +8,7 @@
 #include "pomeloloft/sidecar/board.hpp"
 #include "pomeloloft/sidecar/gate.hpp"
 #include "pomeloloft/sidecar/peers.hpp"
+#include "pomeloloft/sidecar/retry_policy.hpp"
 
 namespace pomeloloft::sidecar {
 
@@ -27,6 +28,13 @@
     net::task<net::response> route(net::request& received);
     net::task<net::response> serve(net::request& received, journey& j);
 
+    /// The position of the next endpoint to try, noted as tried; nothing when there is none.
+    std::optional<std::size_t> pick(journey& j, std::size_t body_bytes, time_point now);
+    /// Takes in how a try ended, and what that leads to.
+    next_step note_end(const net::request& sent, journey& j, try_result ended);
+    /// What the caller is answered.
+    net::response conclude(const net::request& received, journey& j);
+
     [[nodiscard]] bool is_refused_as_suspect(const net::request& received, time_point now) const;
     void note_suspicion(const net::request& received, const std::string& node, const try_result& ended);
     void log_failed_try(const net::request& received, const journey& j, const std::string& node,
--- a/include/pomeloloft/sidecar/gate.hpp
+++ b/include/pomeloloft/sidecar/gate.hpp
@@ -96,9 +96,6 @@
     /// Whether the target could be reached when last tried.
     [[nodiscard]] bool reachable() const { return this->target_reachable; }
 
-    /// Requests being served or waiting.
-    [[nodiscard]] std::uint32_t busy() const;
-
     /// Closes idle connections that are too old.
     void sweep() { this->pool.sweep(); }
 
@@ -113,7 +110,6 @@
     void set_reachable(bool now_reachable);
     void give_back();
     net::task<try_result> send(net::request& sent, const target_call& call);
-    net::task<result<net::connection_ptr>> connect(const target_call& call);
     try_result judge(const net::request& sent, net::exchange_result ended, bool reused);
 
     net::event_loop& loop;
--- a/include/pomeloloft/sidecar/peers.hpp
+++ b/include/pomeloloft/sidecar/peers.hpp
@@ -3,7 +3,6 @@
 #include <functional>
 #include <optional>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 #include "pomeloloft/net/client.hpp"
@@ -20,7 +19,9 @@
 /// to one event loop.
 class peer_links {
 public:
-    peer_links(net::event_loop& where, board& shared, target_gate& gate, config_feed& feed);
+    /// @param peers connections to the other sidecars.
+    peer_links(net::event_loop& where, board& shared, target_gate& gate, config_feed& feed,
+               net::client_pool& peers);
 
     /// Sends a request to the sidecar beside the chosen target.
     [[nodiscard]] net::task<try_result> forward(net::request& sent, const candidate& to,
@@ -54,7 +55,7 @@
         std::string process;
     };
 
-    void take_sightings(const std::vector<crash_sighting>& seen);
+    void take_news(const sync_message& news);
     net::task<net::reply> serve_forwarded(net::request& received);
     net::reply serve_sync(const net::request& received);
     net::reply serve_fence(const net::request& received);
@@ -73,7 +74,7 @@
     board& shared;
     target_gate& gate;
     config_feed& feed;
-    net::client_pool pool;
+    net::client_pool& pool;
     attempt_registry attempts;
     std::uint32_t syncs_under_way = 0;
     bool heard = false;
--- a/include/pomeloloft/sidecar/settings.hpp
+++ b/include/pomeloloft/sidecar/settings.hpp
@@ -25,15 +25,6 @@
     std::string caller_service;
 };
 
-/// How much a service may be sent beyond the first try of each request.
-struct retry_allowance {
-    /// Retries per request.
-    double ratio = 0.1;
-    /// Retries in one window beyond the ratio, summed over the fleet.
-    double reserve = 10;
-    milliseconds window{10'000};
-};
-
 /// Settings of one sidecar process.
 struct settings {
     std::string node;
@@ -50,18 +41,15 @@
     std::string ready_address;
     /// `host:port` where the target reports.
     std::string control_address;
-    /// `host:port` of the metrics; empty for none.
-    std::string metrics_address;
     header_names headers;
-    retry_allowance retries;
+    /// Retries a service may be sent beyond a tenth of its requests, summed over the fleet.
+    double retry_reserve = 10;
     /// Time a target that leaves may still be sent requests after its report was acknowledged.
     milliseconds drain{2000};
     /// Time between SIGTERM and SIGKILL.
     milliseconds grace{6000};
     /// Bandwidth of the VM's link.
     std::uint32_t link_mbps = 1000;
-    /// Memory the process may use, in bytes.
-    std::uint64_t memory_limit = 256U << 20U;
 };
 
 } // namespace pomeloloft::sidecar
--- a/src/pomeloloft/cli/sidecar_commands.cpp
+++ b/src/pomeloloft/cli/sidecar_commands.cpp
@@ -93,7 +93,7 @@
     std::signal(SIGPIPE, SIG_IGN);
     start_logging(own.node);
     net::event_loop loop(1);
-    auto store = platform::store_client::open(loop, own.node, settings.value().store);
+    auto store = platform::store_client::open(loop, own.node, settings.value().store_address);
     if (!store) {
         return fail(exit_code::usage, store.error());
     }
--- a/src/pomeloloft/net/client.cpp
+++ b/src/pomeloloft/net/client.cpp
@@ -28,10 +28,7 @@
     if (failed == beast::error::timeout) {
         return exchange_end::timed_out;
     }
-    const bool is_protocol_error =
-        failed.category() == http::make_error_code(http::error::bad_value).category();
-    const bool is_cut = failed == http::error::end_of_stream || failed == http::error::partial_message;
-    return is_protocol_error && !is_cut ? exchange_end::malformed : exchange_end::lost;
+    return is_malformed(failed) ? exchange_end::malformed : exchange_end::lost;
 }
 
 task<bool> write_watching(connection& on, const request& sent)
@@ -99,6 +96,13 @@
             address.address().to_string(), failed.message()};
 }
 
+error exchange_error(const tcp::endpoint& address, exchange_end end)
+{
+    const bool timed_out = end == exchange_end::timed_out;
+    return {timed_out ? pomeloloft::error_code::timeout : pomeloloft::error_code::unavailable,
+            address.address().to_string(), std::string(name_of(exchange_end_names, end))};
+}
+
 bool is_for(const response& answer, const request& sent, const std::string& id_header)
 {
     return id_header.empty() || answer[id_header] == sent[id_header];
@@ -128,7 +132,6 @@
 
 task<result<connection_ptr>> client_pool::connect(tcp::endpoint address, time_point deadline)
 {
-    ++this->opened_count;
     auto opened = std::make_unique<connection>(this->loop.get_executor());
     const time_point now = steady_clock::now();
     opened->stream.expires_at(std::min(deadline, now + this->options.connect_timeout));
@@ -142,13 +145,38 @@
 
 task<result<connection_ptr>> client_pool::acquire(tcp::endpoint address, time_point deadline)
 {
-    connection_ptr held = this->take_idle(address, this->options.max_idle);
+    co_return co_await this->acquire(address, deadline, this->options.max_idle);
+}
+
+task<result<connection_ptr>> client_pool::acquire(tcp::endpoint address, time_point deadline,
+                                                  milliseconds max_idle)
+{
+    connection_ptr held = this->take_idle(address, max_idle);
     if (held) {
         co_return held;
     }
     co_return co_await this->connect(address, deadline);
 }
 
+task<result<response>> client_pool::call(tcp::endpoint address, request sent, time_point deadline)
+{
+    auto connected = co_await this->acquire(address, deadline);
+    if (!connected) {
+        co_return connected.error();
+    }
+    exchange_options exchange_limits;
+    exchange_limits.deadline = deadline;
+    exchange_result ended = co_await exchange(*connected.value(), sent, exchange_limits);
+    if (ended.end != exchange_end::answered) {
+        this->discard(address);
+        co_return exchange_error(address, ended.end);
+    }
+    if (ended.reusable) {
+        this->release(address, std::move(connected.value()));
+    }
+    co_return std::move(ended.answer);
+}
+
 void client_pool::release(const tcp::endpoint& address, connection_ptr used)
 {
     auto& list = this->idle[address];
--- a/src/pomeloloft/net/server.cpp
+++ b/src/pomeloloft/net/server.cpp
@@ -62,12 +62,6 @@
     return http::status::bad_request;
 }
 
-bool is_malformed(const error_code& failed)
-{
-    const bool ended = failed == http::error::end_of_stream || failed == http::error::partial_message;
-    return !ended && failed.category() == http::make_error_code(http::error::bad_value).category();
-}
-
 task<bool> write(tcp_stream& stream, response& answer, milliseconds timeout)
 {
     stream.expires_after(timeout);
--- a/src/pomeloloft/net/stream.cpp
+++ b/src/pomeloloft/net/stream.cpp
@@ -5,6 +5,8 @@
 
 #include <charconv>
 
+#include <boost/beast/http/error.hpp>
+
 namespace pomeloloft::net {
 namespace {
 
@@ -59,6 +61,12 @@
     return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool is_malformed(const error_code& failed)
+{
+    const bool ended = failed == http::error::end_of_stream || failed == http::error::partial_message;
+    return !ended && failed.category() == http::make_error_code(http::error::bad_value).category();
+}
+
 response make_response(http::status status, std::string body, const char* content_type)
 {
     response out{status, 11};
--- a/src/pomeloloft/sidecar/board.cpp
+++ b/src/pomeloloft/sidecar/board.cpp
@@ -12,14 +12,31 @@
     return b.config.load();
 }
 
-bool adopt_config(board& b, std::shared_ptr<const routing::route_table> next)
+std::uint64_t config_version(const board& b)
 {
     const auto held = b.config.load();
-    if (held && next->version <= held->version) {
+    return held ? held->version : 0;
+}
+
+std::vector<const member*> other_members(const board& b)
+{
+    std::vector<const member*> out;
+    for (const auto& [node, entry] : b.members.entries) {
+        if (node != b.own.node && entry.value.state != member_state::gone) {
+            out.push_back(&entry.value);
+        }
+    }
+    return out;
+}
+
+bool adopt_config(board& b, std::shared_ptr<const routing::route_table> next)
+{
+    const std::uint64_t before = config_version(b);
+    if (b.config.load() && next->version <= before) {
         return false;
     }
     log_change("config-applied", {{"version", next->version},
-                                  {"before", held ? held->version : std::uint64_t{0}},
+                                  {"before", before},
                                   {"routes", static_cast<std::uint64_t>(next->routes.size())}});
     b.config.store(std::move(next));
     return true;
@@ -50,7 +67,7 @@
     auto& held = b.budgets[service];
     if (!held) {
         const auto nodes = static_cast<double>(std::max<std::size_t>(b.members.entries.size(), 1));
-        const auto share = static_cast<std::int64_t>(b.own.retries.reserve / nodes);
+        const auto share = static_cast<std::int64_t>(b.own.retry_reserve / nodes);
         held = std::make_unique<retry_budget>(std::max<std::int64_t>(share, 1));
     }
     return *held;
--- a/src/pomeloloft/sidecar/config_feed.cpp
+++ b/src/pomeloloft/sidecar/config_feed.cpp
@@ -31,19 +31,6 @@
 /// Versions kept for deltas: more than come while a node fetches one.
 constexpr std::size_t max_history = 8;
 
-std::string_view text_of(const net::request& received, const char* name)
-{
-    const auto text = received[name];
-    return {text.data(), text.size()};
-}
-
-net::client_options feed_pool_options()
-{
-    net::client_options out;
-    out.connect_timeout = milliseconds(300);
-    return out;
-}
-
 } // namespace
 
 std::vector<std::string> config_readers(const member_table& members, const std::string& data_centre)
@@ -69,9 +56,8 @@
 }
 
 config_feed::config_feed(net::event_loop& where, board& all, shared_store& platform_store,
-                         config_decoder decoder)
-    : loop(where), shared(all), store(platform_store), decode(std::move(decoder)),
-      pool(where, feed_pool_options())
+                         config_decoder decoder, net::client_pool& peers)
+    : loop(where), shared(all), store(platform_store), decode(std::move(decoder)), pool(peers)
 {}
 
 bool config_feed::is_reader() const
@@ -182,49 +168,41 @@
 
 void config_feed::push(const std::string& delta)
 {
-    for (const auto& [node, entry] : this->shared.members.entries) {
-        const member& m = entry.value;
-        if (node == this->shared.own.node || m.data_centre != this->shared.own.data_centre ||
-            m.state == member_state::gone) {
+    for (const member* other : other_members(this->shared)) {
+        if (other->data_centre != this->shared.own.data_centre) {
             continue;
         }
-        const auto address = net::parse_endpoint(m.peer_address, "member " + node);
+        const auto address = net::parse_endpoint(other->peer_address, "member " + other->node);
         if (address) {
-            net::spawn(this->loop, this->tell(node, address.value(), delta), "tell");
+            net::spawn(this->loop, this->tell(other->node, address.value(), delta), "tell");
         }
     }
 }
 
 net::task<void> config_feed::tell(std::string node, net::tcp::endpoint address, std::string delta)
 {
-    const time_point deadline = steady_clock::now() + tell_timeout;
-    auto connected = co_await this->pool.acquire(address, deadline);
-    if (!connected) {
-        co_return;
-    }
-    const auto held = routes_of(this->shared);
-    net::request sent{net::http::verb::post, peer_header::config_path, 11};
-    sent.set(peer_header::node, this->shared.own.node);
-    sent.set(peer_header::config, std::to_string(held ? held->version : 0));
+    net::request sent = this->make_request(net::http::verb::post);
     sent.body() = std::move(delta);
     sent.prepare_payload();
-    net::exchange_options options;
-    options.deadline = deadline;
-    net::exchange_result ended = co_await net::exchange(*connected.value(), sent, options);
-    if (ended.reusable) {
-        this->pool.release(address, std::move(connected.value()));
-    }
-    if (ended.end == net::exchange_end::answered) {
-        const auto version = ended.answer[peer_header::config];
-        this->note_version(node, {version.data(), version.size()});
+    const time_point deadline = steady_clock::now() + tell_timeout;
+    const auto answered = co_await this->pool.call(address, std::move(sent), deadline);
+    if (answered) {
+        this->note_version(node, net::header_text(answered.value(), peer_header::config));
     }
 }
 
+net::request config_feed::make_request(net::http::verb method) const
+{
+    net::request out{method, peer_header::config_path, 11};
+    out.set(peer_header::node, this->shared.own.node);
+    out.set(peer_header::config, std::to_string(config_version(this->shared)));
+    return out;
+}
+
 net::task<void> config_feed::confirm()
 {
     for (;;) {
         co_await net::sleep_for(confirm_interval);
-        this->pool.sweep();
         const bool confirms = !this->shared.stopping && this->reading && this->store_reached &&
                               this->shared.config.load() != nullptr && this->is_reader();
         if (confirms) {
@@ -235,11 +213,10 @@
 
 net::reply config_feed::answer(const net::request& received)
 {
-    const auto held = routes_of(this->shared);
-    const std::string node(text_of(received, peer_header::node));
+    const std::string node(net::header_text(received, peer_header::node));
     if (received.method() == net::http::verb::get) {
         return this->serve_delta(
-            parse_number<std::uint64_t>(text_of(received, peer_header::config)).value_or(0));
+            parse_number<std::uint64_t>(net::header_text(received, peer_header::config)).value_or(0));
     }
     this->confirmed_at[node] = steady_clock::now();
     if (!received.body().empty()) {
@@ -248,10 +225,9 @@
             log_warning("config-ignored", {{"from", node}, {"reason", to_string(taken.error())}});
         }
     }
-    this->note_version(node, text_of(received, peer_header::config));
+    this->note_version(node, net::header_text(received, peer_header::config));
     net::reply out{net::make_response(net::http::status::ok)};
-    const auto now_held = routes_of(this->shared);
-    out.answer.set(peer_header::config, std::to_string(now_held ? now_held->version : 0));
+    out.answer.set(peer_header::config, std::to_string(config_version(this->shared)));
     return out;
 }
 
@@ -289,8 +265,7 @@
 void config_feed::note_version(const std::string& node, std::string_view version)
 {
     const auto told = parse_number<std::uint64_t>(version);
-    const auto held = routes_of(this->shared);
-    if (!told || *told <= (held ? held->version : 0) || this->catching_up) {
+    if (!told || *told <= config_version(this->shared) || this->catching_up) {
         return;
     }
     this->catching_up = true;
@@ -299,12 +274,11 @@
 
 net::task<void> config_feed::catch_up(std::string node)
 {
-    const auto before = routes_of(this->shared);
-    if (before) {
+    const std::uint64_t before = config_version(this->shared);
+    if (before > 0) {
         co_await net::sleep_for(push_time);
     }
-    const auto held = routes_of(this->shared);
-    const bool arrived = before && held->version > before->version;
+    const bool arrived = config_version(this->shared) > before;
     if (!arrived) {
         // A reader is near and has a good link; who told may have neither.
         std::vector<std::string> sources = config_readers(this->shared.members, this->shared.own.data_centre);
@@ -332,31 +306,19 @@
     if (!address) {
         co_return false;
     }
+    const std::uint64_t before = config_version(this->shared);
+    net::request sent = this->make_request(net::http::verb::get);
     const time_point deadline = steady_clock::now() + fetch_timeout;
-    auto connected = co_await this->pool.acquire(address.value(), deadline);
-    if (!connected) {
+    const auto answered = co_await this->pool.call(address.value(), std::move(sent), deadline);
+    if (!answered || answered.value().result() != net::http::status::ok) {
         co_return false;
     }
-    const auto before = routes_of(this->shared);
-    net::request sent{net::http::verb::get, peer_header::config_path, 11};
-    sent.set(peer_header::node, this->shared.own.node);
-    sent.set(peer_header::config, std::to_string(before ? before->version : 0));
-    net::exchange_options options;
-    options.deadline = deadline;
-    net::exchange_result ended = co_await net::exchange(*connected.value(), sent, options);
-    if (ended.end != net::exchange_end::answered || ended.answer.result() != net::http::status::ok) {
-        co_return false;
-    }
-    if (ended.reusable) {
-        this->pool.release(address.value(), std::move(connected.value()));
-    }
-    const auto taken = this->take_delta(ended.answer.body());
+    const auto taken = this->take_delta(answered.value().body());
     if (!taken) {
         log_warning("config-ignored", {{"from", node}, {"reason", to_string(taken.error())}});
         co_return false;
     }
-    const auto held = routes_of(this->shared);
-    co_return held && (!before || held->version > before->version);
+    co_return config_version(this->shared) > before;
 }
 
 } // namespace pomeloloft::sidecar
--- a/src/pomeloloft/sidecar/daemon.cpp
+++ b/src/pomeloloft/sidecar/daemon.cpp
@@ -30,6 +30,8 @@
 /// Peers that are up answer within this; the others have just started too, or are gone.
 constexpr milliseconds live_peer_patience{60};
 constexpr milliseconds peer_poll{5};
+/// A peer that does not accept a connection in this time is passed over.
+constexpr milliseconds peer_connect_timeout{300};
 constexpr milliseconds probe_interval{300};
 constexpr milliseconds reconnect_interval{300};
 /// New work stops this long before the time a leaving target allows, for requests on their way to it.
@@ -44,6 +46,13 @@
 constexpr milliseconds kill_margin{400};
 constexpr milliseconds stop_poll{50};
 
+net::client_options peer_pool_options()
+{
+    net::client_options out;
+    out.connect_timeout = peer_connect_timeout;
+    return out;
+}
+
 std::string encode_left(const instance_key& left)
 {
     return nlohmann::json{{"instance", left.id}, {"started_at_ms", left.started_at_ms}}.dump();
@@ -64,9 +73,10 @@
 sidecar_daemon::sidecar_daemon(net::event_loop& where, settings own,
                                std::unique_ptr<shared_store> platform_store, config_decoder decode)
     : loop(where), shared{std::move(own)}, store(std::move(platform_store)), gate(where, this->shared.own),
-      feed(where, this->shared, *this->store, std::move(decode)),
-      peers(where, this->shared, this->gate, this->feed), entry(this->shared, this->gate, this->peers),
-      started_at(steady_clock::now())
+      peer_pool(where, peer_pool_options()),
+      feed(where, this->shared, *this->store, std::move(decode), this->peer_pool),
+      peers(where, this->shared, this->gate, this->feed, this->peer_pool),
+      entry(this->shared, this->gate, this->peers), started_at(steady_clock::now())
 {
     member& self = this->shared.self;
     self.node = this->shared.own.node;
@@ -261,28 +271,28 @@
     } else if (effect == report_effect::refreshed && !this->gate.reachable()) {
         this->gate.target_changed();
     } else if (effect == report_effect::leaving) {
-        this->gate.target.closed_at = steady_clock::now() + this->shared.own.drain - drain_margin;
-        this->publish();
+        this->begin_leave();
     }
-    const bool left =
-        this->gate.target.state == target_state::leaving && this->gate.target.instance == reported.instance;
-    if (!left) {
+    if (this->gate.target.instance != reported.instance) {
         co_return true;
     }
     co_return co_await this->keep_leave();
 }
 
+void sidecar_daemon::begin_leave()
+{
+    this->gate.target.closed_at = steady_clock::now() + this->shared.own.drain - drain_margin;
+    this->publish();
+}
+
 net::task<bool> sidecar_daemon::withdraw(instance_key instance)
 {
     const report_effect effect = apply_withdrawal(this->gate.target, instance);
     if (effect == report_effect::leaving) {
         log_change("target-withdrawn", {{"instance", instance.id}});
-        this->gate.target.closed_at = steady_clock::now() + this->shared.own.drain - drain_margin;
-        this->publish();
+        this->begin_leave();
     }
-    const bool left =
-        this->gate.target.state == target_state::leaving && this->gate.target.instance.id == instance.id;
-    if (!left) {
+    if (this->gate.target.instance.id != instance.id) {
         co_return true;
     }
     co_return co_await this->keep_leave();
@@ -291,7 +301,7 @@
 net::task<bool> sidecar_daemon::keep_leave()
 {
     const instance_key leaving = this->gate.target.instance;
-    if (this->kept_leave == leaving) {
+    if (this->gate.target.state != target_state::leaving || this->kept_leave == leaving) {
         co_return true;
     }
     std::vector<store_record> records;
@@ -347,7 +357,7 @@
 {
     this->shared.own.drain = next.drain;
     this->shared.own.grace = next.grace;
-    this->shared.own.retries = next.retries;
+    this->shared.own.retry_reserve = next.retry_reserve;
     this->shared.budgets.clear();
     log_change("settings-reloaded");
 }
--- a/src/pomeloloft/sidecar/entry.cpp
+++ b/src/pomeloloft/sidecar/entry.cpp
@@ -1,8 +1,8 @@
 #include "pomeloloft/sidecar/entry.hpp"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
-#include <optional>
 #include <utility>
 
 #include <boost/beast/http/rfc7230.hpp>
@@ -10,7 +10,6 @@
 #include "pomeloloft/base/log_line.hpp"
 #include "pomeloloft/sidecar/peer_headers.hpp"
 #include "pomeloloft/sidecar/random.hpp"
-#include "pomeloloft/sidecar/retry_policy.hpp"
 
 namespace pomeloloft::sidecar {
 namespace {
@@ -82,9 +81,9 @@
 
 std::uint64_t fingerprint(const net::request& received)
 {
-    const auto host = received[http::field::host];
     const auto target = received.target();
-    return fingerprint_of({host.data(), host.size()}, {target.data(), target.size()}, received.body());
+    return fingerprint_of(net::header_text(received, http::field::host), {target.data(), target.size()},
+                          received.body());
 }
 
 bool is_server_error(const net::response& answer)
@@ -105,6 +104,10 @@
     time_point aim;
     std::vector<std::string> tried;
     journey_state state;
+    /// The last answer of a target.
+    std::optional<net::response> kept;
+    /// Shortest expected wait that an endpoint told; zero when none did.
+    milliseconds least_wait{0};
 };
 
 entry_router::entry_router(board& all, target_gate& own_gate, peer_links& links)
@@ -137,9 +140,8 @@
     if (!this->failed_try_lines.take(now)) {
         return;
     }
-    const auto id = received[this->shared.own.headers.request_id];
     const auto waited = std::chrono::duration_cast<milliseconds>(now - j.started);
-    log_change("try-failed", {{"request", std::string_view(id.data(), id.size())},
+    log_change("try-failed", {{"request", net::header_text(received, this->shared.own.headers.request_id)},
                               {"route", j.route->name},
                               {"endpoint", node},
                               {"outcome", name_of(try_outcome_names, ended.outcome)},
@@ -157,9 +159,8 @@
     }
     const auto found = this->shared.endpoints.find(j.service);
     const std::size_t endpoints = found == this->shared.endpoints.end() ? 0 : found->second.candidates.size();
-    const auto id = received[this->shared.own.headers.request_id];
     log_change("request-unserved",
-               {{"request", std::string_view(id.data(), id.size())},
+               {{"request", net::header_text(received, this->shared.own.headers.request_id)},
                 {"route", j.route->name},
                 {"service", j.service},
                 {"last", name_of(try_outcome_names, j.state.last)},
@@ -172,9 +173,7 @@
 
 net::task<net::reply> entry_router::answer(net::request& received)
 {
-    ++this->shared.counters.received;
-    const auto id_text = received[this->shared.own.headers.request_id];
-    const std::string id(id_text.data(), id_text.size());
+    const std::string id(net::header_text(received, this->shared.own.headers.request_id));
     net::response out = co_await this->route(received);
     if (!id.empty()) {
         out.set(this->shared.own.headers.request_id, id);
@@ -191,9 +190,9 @@
         ++this->shared.counters.refused;
         co_return unavailable(leaves ? retry_after_leaving : retry_after_no_config);
     }
-    const auto host = received[http::field::host];
     const auto target = received.target();
-    j.route = routing::match_route(*j.table, {host.data(), host.size()}, {target.data(), target.size()});
+    j.route = routing::match_route(*j.table, net::header_text(received, http::field::host),
+                                   {target.data(), target.size()});
     if (j.route == nullptr) {
         ++this->shared.counters.not_found;
         co_return net::make_response(http::status::not_found);
@@ -206,7 +205,6 @@
     j.aim = j.started + j.route->target_latency;
     erase_hop_headers(received);
     erase_peer_headers(received);
-    received.erase(names.expected_instance);
     received.set(names.caller_service, this->shared.own.service);
     received.version(11);
     received.prepare_payload();
@@ -214,6 +212,8 @@
         ++this->shared.counters.quarantined;
         co_return unavailable(retry_after_suspect);
     }
+    j.state.idempotent = j.route->idempotent;
+    j.state.max_arrivals = j.route->max_attempts;
     budget_of(this->shared, j.service).deposit();
     this->shared.link.note(received.body().size(), j.started);
     net::response out = co_await this->serve(received, j);
@@ -239,9 +239,6 @@
         }
         ~in_flight() { --this->load.in_flight; }
     } counted(load);
-    sent.erase(this->shared.own.headers.expected_instance);
-    sent.set(this->shared.own.headers.time_left,
-             std::to_string(remaining(call.deadline, steady_clock::now()).count()));
     try_result out;
     if (chosen.own) {
         out = co_await this->gate.serve(sent, call);
@@ -257,86 +254,98 @@
     co_return out;
 }
 
-net::task<net::response> entry_router::serve(net::request& received, journey& j)
+std::optional<std::size_t> entry_router::pick(journey& j, std::size_t body_bytes, time_point now)
 {
-    request_counters& counters = this->shared.counters;
-    j.state.idempotent = j.route->idempotent;
-    j.state.max_arrivals = j.route->max_attempts;
-    std::optional<net::response> kept;
-    milliseconds least_wait{0};
-    for (;;) {
-        const time_point now = steady_clock::now();
-        const auto found = this->shared.endpoints.find(j.service);
-        if (now >= j.deadline || found == this->shared.endpoints.end()) {
-            break;
-        }
-        const std::vector<candidate>& all = found->second.candidates;
-        const choice wanted{all, j.tried, received.body().size(), random_draw(), now};
-        const candidate* chosen = choose(wanted, this->options);
-        if (chosen == nullptr && (j.state.last_round || j.state.redirects == 0 || j.state.arrivals > 0)) {
-            break;
-        }
-        if (chosen == nullptr || j.state.redirects >= max_redirects) {
-            // Every endpoint asked is busy: take the one with the shortest queue and wait there.
-            j.state.last_round = true;
-            j.tried.clear();
-            chosen = choose({all, {}, received.body().size(), random_draw(), now}, this->options);
-        }
-        if (chosen == nullptr) {
-            break;
-        }
-        target_call call;
-        call.service = j.service;
-        call.priority = j.route->priority;
-        call.deadline = j.deadline;
-        call.idempotent = j.route->idempotent;
-        call.max_wait = longest_wait(j.state.last_round, j.started, j.aim, now);
-        j.tried.push_back(chosen->node);
-        const std::string node = chosen->node;
-        try_result ended =
-            co_await this->try_on(received, j, static_cast<std::size_t>(chosen - all.data()), call);
-        const bool failed = ended.outcome == try_outcome::answered && is_server_error(ended.answer);
-        least_wait = least_wait.count() == 0 ? ended.wait : std::min(least_wait, ended.wait);
-        note_try(j.state, ended.outcome, failed);
-        this->note_suspicion(received, node, ended);
-        if (ended.outcome != try_outcome::answered && ended.outcome != try_outcome::refused) {
-            this->log_failed_try(received, j, node, ended);
-        }
-        if (ended.outcome == try_outcome::answered) {
-            kept = std::move(ended.answer);
-        }
-        const next_step step = decide_next(j.state, steady_clock::now(), j.deadline);
-        if (step == next_step::finish) {
-            break;
-        }
-        if (step == next_step::retry) {
-            if (!budget_of(this->shared, j.service).withdraw()) {
-                break;
-            }
-            ++counters.retried;
-            continue;
-        }
-        ++counters.redirected;
+    const auto found = this->shared.endpoints.find(j.service);
+    if (now >= j.deadline || found == this->shared.endpoints.end()) {
+        return std::nullopt;
     }
-    if (!kept) {
-        this->log_unserved(received, j);
+    const std::vector<candidate>& all = found->second.candidates;
+    const candidate* chosen = choose({all, j.tried, body_bytes, random_draw(), now}, this->options);
+    if (chosen == nullptr && (j.state.last_round || j.state.redirects == 0 || j.state.arrivals > 0)) {
+        return std::nullopt;
+    }
+    if (chosen == nullptr || j.state.redirects >= max_redirects) {
+        // Every endpoint asked is busy: take the one with the shortest queue and wait there.
+        j.state.last_round = true;
+        j.tried.clear();
+        chosen = choose({all, {}, body_bytes, random_draw(), now}, this->options);
+    }
+    if (chosen == nullptr) {
+        return std::nullopt;
+    }
+    j.tried.push_back(chosen->node);
+    return static_cast<std::size_t>(chosen - all.data());
+}
+
+next_step entry_router::note_end(const net::request& sent, journey& j, try_result ended)
+{
+    const std::string& node = j.tried.back();
+    const bool answered = ended.outcome == try_outcome::answered;
+    j.least_wait = j.least_wait.count() == 0 ? ended.wait : std::min(j.least_wait, ended.wait);
+    note_try(j.state, ended.outcome, answered && is_server_error(ended.answer));
+    this->note_suspicion(sent, node, ended);
+    if (!answered && ended.outcome != try_outcome::refused) {
+        this->log_failed_try(sent, j, node, ended);
     }
-    if (kept) {
+    if (answered) {
+        j.kept = std::move(ended.answer);
+    }
+    const next_step step = decide_next(j.state, steady_clock::now(), j.deadline);
+    if (step == next_step::redirect) {
+        ++this->shared.counters.redirected;
+    }
+    if (step != next_step::retry) {
+        return step;
+    }
+    if (!budget_of(this->shared, j.service).withdraw()) {
+        return next_step::finish;
+    }
+    ++this->shared.counters.retried;
+    return step;
+}
+
+net::response entry_router::conclude(const net::request& received, journey& j)
+{
+    request_counters& counters = this->shared.counters;
+    if (j.kept) {
         ++counters.answered;
-        co_return std::move(*kept);
+        return std::move(*j.kept);
     }
+    this->log_unserved(received, j);
     switch (final_answer(j.state, steady_clock::now(), j.deadline)) {
     case final_status::not_run:
         ++counters.refused;
-        co_return unavailable(retry_after(least_wait, random_draw()));
+        return unavailable(retry_after(j.least_wait, random_draw()));
     case final_status::timed_out:
         ++counters.timed_out;
-        co_return net::make_response(http::status::gateway_timeout);
+        return net::make_response(http::status::gateway_timeout);
     case final_status::lost:
         break;
     }
     ++counters.failed;
-    co_return net::make_response(http::status::bad_gateway);
+    return net::make_response(http::status::bad_gateway);
+}
+
+net::task<net::response> entry_router::serve(net::request& received, journey& j)
+{
+    next_step step = next_step::redirect;
+    while (step != next_step::finish) {
+        const time_point now = steady_clock::now();
+        const auto position = this->pick(j, received.body().size(), now);
+        if (!position) {
+            break;
+        }
+        target_call call;
+        call.service = j.service;
+        call.priority = j.route->priority;
+        call.deadline = j.deadline;
+        call.idempotent = j.route->idempotent;
+        call.max_wait = longest_wait(j.state.last_round, j.started, j.aim, now);
+        try_result ended = co_await this->try_on(received, j, *position, call);
+        step = this->note_end(received, j, std::move(ended));
+    }
+    co_return this->conclude(received, j);
 }
 
 } // namespace pomeloloft::sidecar
--- a/src/pomeloloft/sidecar/gate.cpp
+++ b/src/pomeloloft/sidecar/gate.cpp
@@ -94,11 +94,6 @@
             this->service_time.micros()};
 }
 
-std::uint32_t target_gate::busy() const
-{
-    return this->running + static_cast<std::uint32_t>(this->waiting.size());
-}
-
 void target_gate::grant_next()
 {
     while (this->running < this->target.slots && !this->waiting.empty()) {
@@ -204,20 +199,11 @@
     co_return out;
 }
 
-net::task<result<net::connection_ptr>> target_gate::connect(const target_call& call)
-{
-    const milliseconds max_idle = call.idempotent ? max_idle_repeatable : max_idle_unrepeatable;
-    net::connection_ptr idle = this->pool.take_idle(this->address, max_idle);
-    if (idle) {
-        co_return idle;
-    }
-    co_return co_await this->pool.connect(this->address, call.deadline);
-}
-
 net::task<try_result> target_gate::send(net::request& sent, const target_call& call)
 {
     try_result out;
-    auto connected = co_await this->connect(call);
+    const milliseconds max_idle = call.idempotent ? max_idle_repeatable : max_idle_unrepeatable;
+    auto connected = co_await this->pool.acquire(this->address, call.deadline, max_idle);
     if (!connected) {
         const bool refused_by_target = steady_clock::now() < call.deadline;
         if (refused_by_target) {
--- a/src/pomeloloft/sidecar/metrics.cpp
+++ b/src/pomeloloft/sidecar/metrics.cpp
@@ -61,9 +61,8 @@
         gauge("pomeloloft_target_slots", "Slots of the target; 0 while it is not used.", load.slots));
     families.push_back(gauge("pomeloloft_target_service_microseconds",
                              "Smoothed time a request holds a slot.", load.service_us));
-    const auto table = routes_of(b);
     families.push_back(gauge("pomeloloft_config_version", "Version in force; 0 before the first.",
-                             table ? static_cast<double>(table->version) : 0));
+                             static_cast<double>(config_version(b))));
     families.push_back(
         gauge("pomeloloft_members", "Sidecars known.", static_cast<double>(b.members.entries.size())));
     families.push_back(gauge("pomeloloft_store_reached", "1 while the platform's store answers.",
--- a/src/pomeloloft/sidecar/peers.cpp
+++ b/src/pomeloloft/sidecar/peers.cpp
@@ -1,8 +1,9 @@
 #include "pomeloloft/sidecar/peers.hpp"
 
+#include <algorithm>
 #include <charconv>
+#include <iterator>
 #include <optional>
-#include <random>
 #include <utility>
 
 #include "pomeloloft/base/hash.hpp"
@@ -17,8 +18,6 @@
 namespace pomeloloft::sidecar {
 namespace {
 
-/// A peer that does not accept a connection in this time is passed over.
-constexpr milliseconds connect_timeout{300};
 constexpr milliseconds sync_timeout{1000};
 constexpr milliseconds inquiry_timeout{150};
 /// Time the peer's own time-out takes to arrive.
@@ -30,18 +29,10 @@
 constexpr std::uint64_t far_sync_one_in = 4;
 constexpr milliseconds max_gone_age{60'000};
 
-net::client_options peer_pool_options()
-{
-    net::client_options out;
-    out.connect_timeout = connect_timeout;
-    return out;
-}
-
 template <typename Message, typename Number>
 Number header_number(const Message& message, const char* name, Number otherwise)
 {
-    const auto text = message[name];
-    return parse_number<Number>({text.data(), text.size()}).value_or(otherwise);
+    return parse_number<Number>(net::header_text(message, name)).value_or(otherwise);
 }
 
 std::string encode_load(const load_report& load)
@@ -93,8 +84,9 @@
 
 } // namespace
 
-peer_links::peer_links(net::event_loop& where, board& all, target_gate& own_gate, config_feed& configs)
-    : loop(where), shared(all), gate(own_gate), feed(configs), pool(where, peer_pool_options())
+peer_links::peer_links(net::event_loop& where, board& all, target_gate& own_gate, config_feed& configs,
+                       net::client_pool& peers)
+    : loop(where), shared(all), gate(own_gate), feed(configs), pool(peers)
 {}
 
 net::task<try_result> peer_links::forward(net::request& sent, const candidate& to, net::tcp::endpoint address,
@@ -121,8 +113,7 @@
     sent.set(peer_header::idempotent, call.idempotent ? "1" : "0");
     sent.set(peer_header::attempt, attempt.id);
     sent.set(peer_header::process, attempt.process);
-    const auto held = this->shared.config.load();
-    sent.set(peer_header::config, std::to_string(held ? held->version : 0));
+    sent.set(peer_header::config, std::to_string(config_version(this->shared)));
     net::exchange_options options;
     options.deadline = call.deadline + answer_margin;
     options.id_header = this->shared.own.headers.request_id;
@@ -142,14 +133,11 @@
         this->pool.release(address, std::move(connected.value()));
     }
     net::response& answer = ended.answer;
-    const auto told = answer[peer_header::load];
-    if (const auto report = decode_load({told.data(), told.size()})) {
+    if (const auto report = decode_load(net::header_text(answer, peer_header::load))) {
         note_load(load, *report, steady_clock::now());
     }
-    const auto version = answer[peer_header::config];
-    this->feed.note_version(node, {version.data(), version.size()});
-    const auto outcome = answer[peer_header::outcome];
-    out.outcome = value_of(try_outcome_names, std::string_view(outcome.data(), outcome.size()))
+    this->feed.note_version(node, net::header_text(answer, peer_header::config));
+    out.outcome = value_of(try_outcome_names, net::header_text(answer, peer_header::outcome))
                       .value_or(try_outcome::lost);
     out.broke_target = answer[peer_header::broke_target] == "1";
     out.wait = milliseconds(header_number<net::response, int>(answer, peer_header::wait, 0));
@@ -210,19 +198,16 @@
 net::task<net::reply> peer_links::serve_forwarded(net::request& received)
 {
     target_call call;
-    const auto service = received[peer_header::service];
-    call.service.assign(service.data(), service.size());
+    call.service = net::header_text(received, peer_header::service);
     call.priority = header_number<net::request, std::uint32_t>(received, peer_header::priority, 0);
     call.max_wait = milliseconds(header_number<net::request, int>(received, peer_header::max_wait, 0));
     const int left = header_number<net::request, int>(received, peer_header::time_left, 0);
     call.deadline = steady_clock::now() + milliseconds(left);
     call.idempotent = received[peer_header::idempotent] == "1";
-    const auto attempt_text = received[peer_header::attempt];
-    const std::string attempt(attempt_text.data(), attempt_text.size());
-    const auto id_text = received[this->shared.own.headers.request_id];
-    const std::string id(id_text.data(), id_text.size());
-    const auto process = received[peer_header::process];
-    const bool meant_for_me = !is_for_other_node({process.data(), process.size()}, this->shared.own.node);
+    const std::string attempt(net::header_text(received, peer_header::attempt));
+    const std::string id(net::header_text(received, this->shared.own.headers.request_id));
+    const bool meant_for_me =
+        !is_for_other_node(net::header_text(received, peer_header::process), this->shared.own.node);
     for (const char* name :
          {peer_header::service, peer_header::priority, peer_header::max_wait, peer_header::time_left,
           peer_header::idempotent, peer_header::attempt, peer_header::process, peer_header::config}) {
@@ -242,7 +227,6 @@
     }
     net::reply out{ended.outcome == try_outcome::answered ? std::move(ended.answer)
                                                           : net::make_response(net::http::status::ok)};
-    const auto held = this->shared.config.load();
     out.answer.set(this->shared.own.headers.request_id, id);
     out.answer.set(peer_header::outcome, std::string(name_of(try_outcome_names, ended.outcome)));
     if (ended.broke_target) {
@@ -253,17 +237,17 @@
     load_report report = this->gate.report();
     report.link_ms = this->shared.link.wait_ms(steady_clock::now());
     out.answer.set(peer_header::load, encode_load(report));
-    out.answer.set(peer_header::config, std::to_string(held ? held->version : 0));
+    out.answer.set(peer_header::config, std::to_string(config_version(this->shared)));
     co_return out;
 }
 
 net::reply peer_links::serve_fence(const net::request& received)
 {
-    const auto attempt = received[peer_header::attempt];
     if (received[peer_header::process] != process_name(this->shared.members, this->shared.own.node)) {
         return {net::make_response(net::http::status::misdirected_request)};
     }
-    const attempt_state state = this->attempts.fence(std::string(attempt.data(), attempt.size()), true);
+    const attempt_state state =
+        this->attempts.fence(std::string(net::header_text(received, peer_header::attempt)), true);
     return {net::make_response(net::http::status::ok, std::string(name_of(attempt_state_names, state)))};
 }
 
@@ -271,8 +255,7 @@
 {
     sync_message out;
     out.node = this->shared.own.node;
-    const auto held = this->shared.config.load();
-    out.config_version = held ? held->version : 0;
+    out.config_version = config_version(this->shared);
     out.digest = combined_digest(this->shared.members);
     out.members.push_back(this->shared.self);
     out.sightings = this->shared.suspects.to_tell(steady_clock::now());
@@ -287,9 +270,7 @@
         return {net::make_response(net::http::status::bad_request)};
     }
     const std::optional<member> earlier = this->earlier_entry(message.value().members);
-    this->take_members(message.value().members);
-    this->take_sightings(message.value().sightings);
-    this->feed.note_version(message.value().node, std::to_string(message.value().config_version));
+    this->take_news(message.value());
     sync_message answer = this->own_news();
     if (earlier) {
         answer.members.push_back(*earlier);
@@ -344,12 +325,14 @@
     }
 }
 
-void peer_links::take_sightings(const std::vector<crash_sighting>& seen)
+void peer_links::take_news(const sync_message& news)
 {
+    this->take_members(news.members);
     const time_point now = steady_clock::now();
-    for (const crash_sighting& sighting : seen) {
+    for (const crash_sighting& sighting : news.sightings) {
         this->shared.suspects.add(sighting, now);
     }
+    this->feed.note_version(news.node, std::to_string(news.config_version));
 }
 
 void peer_links::publish_self(member_state state)
@@ -359,13 +342,10 @@
     ++self.sequence;
     merge(this->shared.members, self, 0, steady_clock::now());
     rebuild_endpoints(this->shared);
-    for (const auto& [node, entry] : this->shared.members.entries) {
-        if (node == this->shared.own.node || entry.value.state == member_state::gone) {
-            continue;
-        }
-        const auto address = net::parse_endpoint(entry.value.peer_address, "member " + node);
+    for (const member* other : other_members(this->shared)) {
+        const auto address = net::parse_endpoint(other->peer_address, "member " + other->node);
         if (address) {
-            net::spawn(this->loop, this->push_to(node, address.value()), "push");
+            net::spawn(this->loop, this->push_to(other->node, address.value()), "push");
         }
     }
 }
@@ -373,33 +353,21 @@
 net::task<std::optional<sync_message>> peer_links::exchange_news(std::string node, net::tcp::endpoint address,
                                                                  sync_message news)
 {
-    const time_point deadline = steady_clock::now() + sync_timeout;
-    auto connected = co_await this->pool.acquire(address, deadline);
-    if (!connected) {
-        co_return std::nullopt;
-    }
     net::request sent{net::http::verb::post, peer_header::sync_path, 11};
     sent.body() = encode_sync(news);
     sent.prepare_payload();
-    net::exchange_options options;
-    options.deadline = deadline;
-    net::exchange_result ended = co_await net::exchange(*connected.value(), sent, options);
-    if (ended.end != net::exchange_end::answered) {
-        this->pool.discard(address);
+    const time_point deadline = steady_clock::now() + sync_timeout;
+    auto answered = co_await this->pool.call(address, std::move(sent), deadline);
+    if (!answered) {
         co_return std::nullopt;
     }
-    if (ended.reusable) {
-        this->pool.release(address, std::move(connected.value()));
-    }
-    auto answer = decode_sync(ended.answer.body());
+    auto answer = decode_sync(answered.value().body());
     if (!answer) {
         log_warning("sync-ignored", {{"from", node}, {"reason", to_string(answer.error())}});
         co_return std::nullopt;
     }
     this->heard = true;
-    this->take_members(answer.value().members);
-    this->take_sightings(answer.value().sightings);
-    this->feed.note_version(node, std::to_string(answer.value().config_version));
+    this->take_news(answer.value());
     co_return std::move(answer.value());
 }
 
@@ -460,17 +428,10 @@
 const member* peer_links::random_peer() const
 {
     const bool near = random_draw() % far_sync_one_in != 0;
+    const std::vector<const member*> all = other_members(this->shared);
     std::vector<const member*> near_peers;
-    std::vector<const member*> all;
-    for (const auto& [node, entry] : this->shared.members.entries) {
-        if (node == this->shared.own.node || entry.value.state == member_state::gone) {
-            continue;
-        }
-        all.push_back(&entry.value);
-        if (entry.value.data_centre == this->shared.own.data_centre) {
-            near_peers.push_back(&entry.value);
-        }
-    }
+    std::copy_if(all.begin(), all.end(), std::back_inserter(near_peers),
+                 [this](const member* other) { return other->data_centre == this->shared.own.data_centre; });
     const auto& from = near && !near_peers.empty() ? near_peers : all;
     return from.empty() ? nullptr : from[random_draw() % from.size()];
 }
--- a/src/pomeloloft/sidecar/target.cpp
+++ b/src/pomeloloft/sidecar/target.cpp
@@ -22,6 +22,13 @@
            (known.started_at_ms == reported.started_at_ms || known.started_at_ms == 0);
 }
 
+/// Whether two keys may name the same start; one that was not told may be any.
+bool may_be_same_start(const instance_key& a, const instance_key& b)
+{
+    const bool told = a.started_at_ms != 0 && b.started_at_ms != 0;
+    return a.id == b.id && (!told || a.started_at_ms == b.started_at_ms);
+}
+
 void begin_start(target_record& target, const target_report& report)
 {
     target.state = target_state::serving;
@@ -55,11 +62,8 @@
 
 bool has_left(const target_record& target, const instance_key& instance)
 {
-    return std::any_of(target.left.begin(), target.left.end(), [&instance](const instance_key& gone) {
-        const bool same_start = gone.started_at_ms == instance.started_at_ms || gone.started_at_ms == 0 ||
-                                instance.started_at_ms == 0;
-        return gone.id == instance.id && same_start;
-    });
+    return std::any_of(target.left.begin(), target.left.end(),
+                       [&instance](const instance_key& gone) { return may_be_same_start(gone, instance); });
 }
 
 report_effect apply_report(target_record& target, const target_report& report, time_point now)
@@ -92,10 +96,7 @@
         note_left(target, instance);
         return report_effect::leaving;
     }
-    const bool same = instance.id == target.instance.id &&
-                      (instance.started_at_ms == 0 || target.instance.started_at_ms == 0 ||
-                       instance.started_at_ms == target.instance.started_at_ms);
-    if (!same || target.state == target_state::leaving) {
+    if (!may_be_same_start(target.instance, instance) || target.state == target_state::leaving) {
         return report_effect::stale;
     }
     leave(target);
--- a/test/integration/sidecar_fleet.cpp
+++ b/test/integration/sidecar_fleet.cpp
@@ -20,26 +20,9 @@
 /// Time in which sidecars hear of each other.
 constexpr milliseconds news_time{200};
 
-/// Listening ports are taken below those that the system gives to outgoing connections: such a connection
-/// could take a port between this search and the sidecar's start.
-constexpr int first_port = 12'000;
-constexpr int port_count = 20'000;
-constexpr int ports_per_process = 97;
-
-/// A port that nothing listens on.
-std::string free_address(net::event_loop& loop)
+std::string free_address()
 {
-    static int next = static_cast<int>(::getpid()) * ports_per_process;
-    for (;;) {
-        const int port = first_port + next++ % port_count;
-        net::tcp_acceptor probe(loop);
-        net::error_code taken;
-        probe.open(net::tcp::v4(), taken);
-        probe.bind({net::asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(port)}, taken);
-        if (!taken) {
-            return "127.0.0.1:" + std::to_string(port);
-        }
-    }
+    return "127.0.0.1:" + std::to_string(free_port());
 }
 
 net::task<void> send_call(net::event_loop& loop, std::string address, caller_request request,
@@ -98,10 +81,10 @@
         sidecar_node& node = this->nodes[i];
         node.target = std::make_unique<platform_target>(this->loop, "i-" + std::to_string(i));
         node.own.node = "n" + std::to_string(i);
-        node.own.outbound_address = free_address(this->loop);
-        node.own.peer_address = free_address(this->loop);
-        node.own.ready_address = free_address(this->loop);
-        node.own.control_address = free_address(this->loop);
+        node.own.outbound_address = free_address();
+        node.own.peer_address = free_address();
+        node.own.ready_address = free_address();
+        node.own.control_address = free_address();
         this->start(i);
     }
     for (std::size_t i = 0; i < size; ++i) {
@@ -135,10 +118,10 @@
          << "\nPOMELOLOFT_OUTBOUND=" << at.own.outbound_address << "\nPOMELOLOFT_PEER=" << at.own.peer_address
          << "\nPOMELOLOFT_READY=" << at.own.ready_address << "\nPOMELOLOFT_CONTROL=" << at.own.control_address
          << "\nPOMELOLOFT_STORE=" << this->store.address()
-         << "\nPOMELOLOFT_MEMORY_MB=260\nPOMELOLOFT_LINK_MBPS=1000\nPOMELOLOFT_DRAIN_MS=1000\nPOMELOLOFT_"
+         << "\nPOMELOLOFT_LINK_MBPS=1000\nPOMELOLOFT_DRAIN_MS=1000\nPOMELOLOFT_"
             "GRACE_S=6\n"
-         << "POMELOLOFT_RETRY_RATIO=0.2\nPOMELOLOFT_RETRY_RESERVE=62\nPOMELOLOFT_RETRY_WINDOW_S=10\n"
-         << "POMELOLOFT_STORE_RECORD_BYTES=262144\n";
+         << "POMELOLOFT_RETRY_RESERVE=62\n"
+         << "";
     file.close();
     at.process = std::make_unique<child_process>(
         POMELOLOFT_BINARY, std::vector<std::string>{"sidecar", path + ".env"}, path + ".log");
