Stop a listener soon: a thread that misses POCO's wake-up waits 250 ms, not 20 s

Cause: Poco's TCPServerDispatcher wakes its waiting threads once when it stops. A thread whose connection ends at that moment checks for the stop, then waits for the next connection, misses the wake-up and sleeps for the thread idle time, 20 s here. stop() joins it. Ruled out: gRPC shutdown, log and control loops; two stacks taken of hanging proxies both stood in joinAll with a dispatcher thread in waitDequeueNotification.

--- a/src/pomeloloft/http/server.cpp
+++ b/src/pomeloloft/http/server.cpp
@@ -22,6 +22,9 @@
 constexpr int listen_backlog = 512;
 constexpr int least_threads = 2;
 constexpr int idle_thread_seconds = 20;
+/// A thread that begins to wait for a connection while the server stops misses POCO's wake-up and sleeps this
+/// out, so it bounds how much longer a stop may take.
+constexpr long connection_wait_us = 250'000;
 
 class function_handler : public Poco::Net::HTTPRequestHandler {
 public:
@@ -64,7 +67,7 @@
     params->setMaxKeepAliveRequests(max_requests_per_connection);
     params->setKeepAliveTimeout(Poco::Timespan(options.idle_timeout.count() * Poco::Timespan::MILLISECONDS));
     params->setTimeout(Poco::Timespan(options.io_timeout.count() * Poco::Timespan::MILLISECONDS));
-    params->setThreadIdleTime(Poco::Timespan(idle_thread_seconds, 0));
+    params->setThreadIdleTime(Poco::Timespan(connection_wait_us));
     return params;
 }
 
