Read the store over wide links only, and look again for a store that was lost

Both nodes with wide links of a data centre were in a planned stop, so nodes of 5 Mbit/s became readers; a document of 0.9 MB took longer than the read's time-out, they called the store lost, passed the duty on, and served whole tables of 213 KB again and again to nodes that held the version already. Ruled out: deltas themselves (600 bytes a version, 88 KB for 1,120 routes more). Mend: readers are the nodes with wide links, of another data centre where the own has none; a node that lost the store asks again with a call of a few bytes; a version the asker holds is not sent; the first version comes from a peer where one has it.

--- a/include/pomeloloft/sidecar/config_feed.hpp
+++ b/include/pomeloloft/sidecar/config_feed.hpp
@@ -20,8 +20,8 @@
 /// Readers of the store a data centre has.
 inline constexpr std::size_t readers_per_data_centre = 2;
 
-/// The nodes of a data centre that read the store for the others, best links first: of the members that are
-/// there and reach the store.
+/// The nodes that read the store for a data centre, of those that reach it: its own, unless only others have
+/// links wide enough for whole documents. Best first.
 [[nodiscard]] std::vector<std::string> config_readers(const member_table& members,
                                                       const std::string& data_centre);
 
@@ -55,13 +55,22 @@
     [[nodiscard]] bool reaches_store() const { return this->store_reached; }
 
 private:
+    [[nodiscard]] bool reads_for(const std::string& data_centre) const;
+    /// Whether this node reads for any data centre.
     [[nodiscard]] bool is_reader() const;
     [[nodiscard]] bool hears_reader() const;
-    [[nodiscard]] bool leads() const;
+    /// Whether this node is the first of a data centre's readers that lives.
+    [[nodiscard]] bool leads(const std::string& data_centre) const;
+    /// Looks whether a store that was lost is back, while others read it for this node.
+    net::task<void> check_store();
+    /// Waits for the first version from peers, where some are there.
+    net::task<void> await_peers();
     net::task<void> read_once();
     void set_reached(bool reached, const std::string& reason);
     void adopt(std::shared_ptr<const routing::route_table> table);
+    /// Tells the nodes that this one reads for; an empty delta only confirms the version.
     void push(const std::string& delta);
+    void push_to(const std::string& data_centre, const std::string& delta);
     /// A request on the path for configurations that tells which version this node holds.
     [[nodiscard]] net::request make_request(net::http::verb method) const;
     net::task<void> tell(std::string node, net::tcp::endpoint address, std::string delta);
--- a/include/pomeloloft/sidecar/shared_store.hpp
+++ b/include/pomeloloft/sidecar/shared_store.hpp
@@ -29,6 +29,9 @@
     /// Lets the next call of `next_config` return the newest document, whatever came before it.
     virtual void skip_to_newest() = 0;
 
+    /// Whether the store answers; cheap.
+    virtual net::task<bool> is_reachable(time_point deadline) = 0;
+
     /// Writes records of the project's own, all or none. A write that was given up never replaces a later
     /// one.
     virtual net::task<result<void>> put(std::vector<store_record> records, time_point deadline) = 0;
--- a/src/pomeloloft/sidecar/config_feed.cpp
+++ b/src/pomeloloft/sidecar/config_feed.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <set>
 #include <tuple>
 #include <utility>
 
@@ -18,6 +19,8 @@
 
 constexpr milliseconds first_retry{100};
 constexpr milliseconds longest_retry{1000};
+/// A store that is up answers a small call within this.
+constexpr milliseconds store_check_timeout{500};
 /// Readers confirm the newest version this often; a reader not heard for the second time is taken as lost. A
 /// node then still has time to read a version itself before it must be in force.
 constexpr milliseconds confirm_interval{500};
@@ -26,31 +29,70 @@
 constexpr milliseconds idle_poll{100};
 /// Time in which a version that is told of arrives by itself.
 constexpr milliseconds push_time{200};
+/// A whole table takes most of this on a narrow link.
 constexpr milliseconds fetch_timeout{1500};
-constexpr milliseconds tell_timeout{700};
+constexpr milliseconds tell_timeout{1500};
+/// Time in which a started process may get its first version from a peer, which is near and sends a quarter
+/// of the bytes that the store does.
+constexpr milliseconds peer_start_limit{1500};
+constexpr milliseconds peer_start_poll{20};
 /// Versions kept for deltas: more than come while a node fetches one.
 constexpr std::size_t max_history = 8;
 
 } // namespace
 
+namespace {
+
+/// A link this many times narrower than the best one is not used to read the store while others are there: a
+/// whole document would fill it for seconds.
+constexpr std::uint32_t narrow_link_factor = 4;
+
+/// How well a member reads for a data centre; less is better.
+using reader_rank = std::tuple<bool, bool, std::int64_t, std::uint64_t>;
+
+bool may_read(const member& m)
+{
+    return m.state != member_state::gone && m.reaches_store;
+}
+
+std::uint32_t best_link_mbps(const member_table& members)
+{
+    std::uint32_t best = 0;
+    for (const auto& [node, entry] : members.entries) {
+        best = may_read(entry.value) ? std::max(best, entry.value.link_mbps) : best;
+    }
+    return best;
+}
+
+std::set<std::string> data_centres_of(const member_table& members)
+{
+    std::set<std::string> out;
+    for (const auto& [node, entry] : members.entries) {
+        out.insert(entry.value.data_centre);
+    }
+    return out;
+}
+
+} // namespace
+
 std::vector<std::string> config_readers(const member_table& members, const std::string& data_centre)
 {
-    std::vector<const member*> able;
+    const std::uint32_t best = best_link_mbps(members);
+    std::vector<std::pair<reader_rank, const member*>> able;
     for (const auto& [node, entry] : members.entries) {
         const member& m = entry.value;
-        if (m.data_centre == data_centre && m.state != member_state::gone && m.reaches_store) {
-            able.push_back(&m);
+        if (may_read(m)) {
+            const bool narrow = m.link_mbps * narrow_link_factor < best;
+            able.push_back({{narrow, m.data_centre != data_centre, -static_cast<std::int64_t>(m.link_mbps),
+                             tree_weight(node)},
+                            &m});
         }
     }
-    const auto better = [](const member* a, const member* b) {
-        return std::make_tuple(-static_cast<std::int64_t>(a->link_mbps), tree_weight(a->node)) <
-               std::make_tuple(-static_cast<std::int64_t>(b->link_mbps), tree_weight(b->node));
-    };
     const std::size_t count = std::min(able.size(), readers_per_data_centre);
-    std::partial_sort(able.begin(), able.begin() + static_cast<std::ptrdiff_t>(count), able.end(), better);
+    std::partial_sort(able.begin(), able.begin() + static_cast<std::ptrdiff_t>(count), able.end());
     std::vector<std::string> out;
     for (std::size_t i = 0; i < count; ++i) {
-        out.push_back(able[i]->node);
+        out.push_back(able[i].second->node);
     }
     return out;
 }
@@ -60,12 +102,19 @@
     : loop(where), shared(all), store(platform_store), decode(std::move(decoder)), pool(peers)
 {}
 
-bool config_feed::is_reader() const
+bool config_feed::reads_for(const std::string& data_centre) const
 {
-    const auto readers = config_readers(this->shared.members, this->shared.own.data_centre);
+    const auto readers = config_readers(this->shared.members, data_centre);
     return std::find(readers.begin(), readers.end(), this->shared.own.node) != readers.end();
 }
 
+bool config_feed::is_reader() const
+{
+    const auto all = data_centres_of(this->shared.members);
+    return std::any_of(all.begin(), all.end(),
+                       [this](const std::string& data_centre) { return this->reads_for(data_centre); });
+}
+
 bool config_feed::hears_reader() const
 {
     const time_point since = steady_clock::now() - reader_patience;
@@ -73,9 +122,9 @@
                        [since](const auto& heard) { return heard.second >= since; });
 }
 
-bool config_feed::leads() const
+bool config_feed::leads(const std::string& data_centre) const
 {
-    const auto readers = config_readers(this->shared.members, this->shared.own.data_centre);
+    const auto readers = config_readers(this->shared.members, data_centre);
     const time_point since = steady_clock::now() - reader_patience;
     for (const std::string& reader : readers) {
         if (reader == this->shared.own.node) {
@@ -89,14 +138,26 @@
     return false;
 }
 
+net::task<void> config_feed::await_peers()
+{
+    const time_point until = steady_clock::now() + peer_start_limit;
+    while (this->shared.config.load() == nullptr && steady_clock::now() < until) {
+        if (this->shared.joined && !this->catching_up) {
+            co_return;
+        }
+        co_await net::sleep_for(peer_start_poll);
+    }
+}
+
 net::task<void> config_feed::follow()
 {
+    co_await this->await_peers();
     while (!this->shared.stopping) {
         const bool needed =
             this->shared.config.load() == nullptr || this->is_reader() || !this->hears_reader();
         if (!needed) {
             this->reading = false;
-            co_await net::sleep_for(idle_poll);
+            co_await this->check_store();
             continue;
         }
         if (!this->reading) {
@@ -107,6 +168,19 @@
     }
 }
 
+net::task<void> config_feed::check_store()
+{
+    if (this->store_reached) {
+        co_await net::sleep_for(idle_poll);
+        co_return;
+    }
+    co_await net::sleep_for(longest_retry / 2 + milliseconds(random_draw() % longest_retry.count()));
+    const bool reached = co_await this->store.is_reachable(steady_clock::now() + store_check_timeout);
+    if (reached) {
+        this->set_reached(true, {});
+    }
+}
+
 void config_feed::set_reached(bool reached, const std::string& reason)
 {
     if (reached == this->store_reached) {
@@ -161,15 +235,29 @@
     if (this->on_config) {
         this->on_config();
     }
-    if (before && this->reading && this->leads()) {
-        this->push(routing::encode_delta(routing::make_delta(*before, *table)));
+    if (before && this->reading && this->is_reader()) {
+        const std::string delta = routing::encode_delta(routing::make_delta(*before, *table));
+        log_change("config-pushed",
+                   {{"version", table->version}, {"bytes", static_cast<std::uint64_t>(delta.size())}});
+        this->push(delta);
     }
 }
 
 void config_feed::push(const std::string& delta)
+{
+    for (const std::string& data_centre : data_centres_of(this->shared.members)) {
+        // A version is sent by one reader; that it is the newest is confirmed by both.
+        const bool sends = delta.empty() ? this->reads_for(data_centre) : this->leads(data_centre);
+        if (sends) {
+            this->push_to(data_centre, delta);
+        }
+    }
+}
+
+void config_feed::push_to(const std::string& data_centre, const std::string& delta)
 {
     for (const member* other : other_members(this->shared)) {
-        if (other->data_centre != this->shared.own.data_centre) {
+        if (other->data_centre != data_centre) {
             continue;
         }
         const auto address = net::parse_endpoint(other->peer_address, "member " + other->node);
@@ -251,15 +339,18 @@
 net::reply config_feed::serve_delta(std::uint64_t from) const
 {
     const auto held = routes_of(this->shared);
-    if (!held) {
+    if (!held || held->version <= from) {
         return {net::make_response(net::http::status::not_found)};
     }
     const auto base = std::find_if(this->history.begin(), this->history.end(),
                                    [from](const auto& table) { return table->version == from; });
     const routing::route_table empty;
-    const routing::table_delta delta =
-        routing::make_delta(base == this->history.end() ? empty : **base, *held);
-    return {net::make_response(net::http::status::ok, routing::encode_delta(delta), "application/json")};
+    const std::string delta =
+        routing::encode_delta(routing::make_delta(base == this->history.end() ? empty : **base, *held));
+    log_change(
+        "config-served",
+        {{"from", from}, {"version", held->version}, {"bytes", static_cast<std::uint64_t>(delta.size())}});
+    return {net::make_response(net::http::status::ok, delta, "application/json")};
 }
 
 void config_feed::note_version(const std::string& node, std::string_view version)
--- /dev/null
+++ b/src/pomeloloft/sidecar/config_feed_test.cpp
@@ -0,0 +1,174 @@
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "pomeloloft/net/client.hpp"
+#include "pomeloloft/net/spawn.hpp"
+#include "pomeloloft/net/timer.hpp"
+#include "pomeloloft/sidecar/board.hpp"
+#include "pomeloloft/sidecar/config_feed.hpp"
+#include "pomeloloft/sidecar/peer_headers.hpp"
+
+namespace pomeloloft::sidecar {
+namespace {
+
+struct member_row {
+    const char* node;
+    const char* data_centre;
+    std::uint32_t link_mbps;
+    bool reaches_store;
+};
+
+struct readers_row {
+    const char* name;
+    std::vector<member_row> members;
+    /// Expected for data centre `a`, in any order.
+    std::vector<std::string> readers;
+};
+
+std::ostream& operator<<(std::ostream& out, const readers_row& row)
+{
+    return out << row.name;
+}
+
+const readers_row readers_rows[] = {
+    {"those of the data centre",
+     {{"a1", "a", 1000, true}, {"a2", "a", 1000, true}, {"b1", "b", 1000, true}},
+     {"a1", "a2"}},
+    {"wide links first",
+     {{"a1", "a", 5, true}, {"a2", "a", 100, true}, {"a3", "a", 100, true}, {"b1", "b", 100, true}},
+     {"a2", "a3"}},
+    {"wide links elsewhere before narrow ones here",
+     {{"a1", "a", 5, true}, {"a2", "a", 100, false}, {"b1", "b", 100, true}, {"b2", "b", 100, true}},
+     {"b1", "b2"}},
+    {"one here and one elsewhere",
+     {{"a1", "a", 5, true}, {"a2", "a", 100, true}, {"b1", "b", 100, true}},
+     {"a2", "b1"}},
+    {"narrow links where there are no others", {{"a1", "a", 5, true}, {"b1", "b", 5, true}}, {"a1", "b1"}},
+    {"none without the store", {{"a1", "a", 100, false}, {"b1", "b", 100, false}}, {}},
+};
+
+member_table table_of(const std::vector<member_row>& rows)
+{
+    member_table out;
+    for (const member_row& row : rows) {
+        member m;
+        m.node = row.node;
+        m.data_centre = row.data_centre;
+        m.link_mbps = row.link_mbps;
+        m.reaches_store = row.reaches_store;
+        merge(out, m, 0, steady_clock::now());
+    }
+    return out;
+}
+
+/// A store whose reads of the configuration fail, and which answers small calls again after a while.
+class recovering_store : public shared_store {
+public:
+    net::task<result<std::optional<std::string>>> next_config() override
+    {
+        ++this->reads;
+        co_return error{error_code::unavailable, "store", "down"};
+    }
+    void skip_to_newest() override {}
+    net::task<bool> is_reachable(time_point) override
+    {
+        ++this->checks;
+        co_return this->checks >= 2;
+    }
+    net::task<result<void>> put(std::vector<store_record>, time_point) override { co_return success(); }
+    net::task<result<std::vector<store_record>>> read_all(time_point) override
+    {
+        co_return std::vector<store_record>{};
+    }
+
+    int reads = 0;
+    int checks = 0;
+};
+
+net::task<void> confirm_often(config_feed& feed)
+{
+    for (;;) {
+        net::request told{net::http::verb::post, peer_header::config_path, 11};
+        told.set(peer_header::node, "a2");
+        told.set(peer_header::config, "1");
+        (void)feed.answer(told);
+        co_await net::sleep_for(milliseconds{100});
+    }
+}
+
+std::shared_ptr<const routing::route_table> first_version()
+{
+    routing::route_table out;
+    out.version = 1;
+    return std::make_shared<const routing::route_table>(std::move(out));
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(config_feeds)
+
+BOOST_DATA_TEST_CASE(readers_have_wide_links, boost::unit_test::data::make(readers_rows), row)
+{
+    auto chosen = config_readers(table_of(row.members), "a");
+    std::sort(chosen.begin(), chosen.end());
+    BOOST_TEST(chosen == row.readers, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(a_store_that_was_lost_is_looked_for_again)
+{
+    net::event_loop loop;
+    settings own;
+    own.node = "a1";
+    own.data_centre = "a";
+    board shared{own};
+    shared.members = table_of({{"a1", "a", 5, true}, {"a2", "a", 100, true}, {"a3", "a", 100, true}});
+    shared.joined = true;
+    recovering_store store;
+    net::client_pool pool(loop, {});
+    config_feed feed(
+        loop, shared, store, [](const std::string&) { return first_version(); }, pool);
+    net::spawn(loop, feed.follow(), "follow");
+    loop.run_for(milliseconds{300});
+    BOOST_TEST(!feed.reaches_store());
+    // Others read for this node from now on.
+    adopt_config(shared, first_version());
+    net::spawn(loop, confirm_often(feed), "confirm");
+    loop.run_for(milliseconds{500});
+    const int reads_before = store.reads;
+    loop.run_for(milliseconds{4000});
+    BOOST_TEST(store.checks == 2);
+    BOOST_TEST(feed.reaches_store());
+    BOOST_TEST(store.reads <= reads_before + 1);
+}
+
+BOOST_AUTO_TEST_CASE(a_version_that_the_asker_holds_is_not_sent_again)
+{
+    net::event_loop loop;
+    settings own;
+    own.node = "a1";
+    board shared{own};
+    adopt_config(shared, first_version());
+    recovering_store store;
+    net::client_pool pool(loop, {});
+    config_feed feed(
+        loop, shared, store, [](const std::string&) { return first_version(); }, pool);
+    for (const auto& [held, status] : {std::pair{"0", net::http::status::ok},
+                                       {"1", net::http::status::not_found},
+                                       {"2", net::http::status::not_found}}) {
+        net::request asked{net::http::verb::get, peer_header::config_path, 11};
+        asked.set(peer_header::config, held);
+        BOOST_TEST((feed.answer(asked).answer.result() == status));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace pomeloloft::sidecar
