Send large bodies on agreement, pass over targets that fail fast, serve once a version is held

Causes, on the grown sites: (1) an upload was sent whole to each busy gate that turned it away, over links of 5 Mbit/s; calls, versions and closes queued for seconds behind them. (3) A started VM was sent requests while its first configuration filled its link.

--- a/include/pomeloloft/net/client.hpp
+++ b/include/pomeloloft/net/client.hpp
@@ -22,6 +22,13 @@
     /// When the remote is expected to close it for being idle.
     time_point expires_at = no_deadline;
     bool reused = false;
+    /// An exchange is under way. A connection that ends now is reset, so that bytes that still wait for the
+    /// link are not sent to a remote that has no use for them.
+    bool in_exchange = false;
+
+    ~connection();
+    connection(const connection&) = delete;
+    connection& operator=(const connection&) = delete;
 };
 
 using connection_ptr = std::unique_ptr<connection>;
@@ -98,6 +105,8 @@
     bool reusable = false;
     /// Bytes of an answer had arrived.
     bool answer_begun = false;
+    /// The remote had not agreed to take the body, so none of it was sent.
+    bool body_withheld = false;
 };
 
 /// What an answer is matched by.
@@ -106,6 +115,11 @@
     std::uint64_t max_body_bytes = 64U << 20U;
     /// Header that must echo the request's own; an answer with another value is skipped. Empty for none.
     std::string id_header;
+    /// Send a large body only once the remote has agreed to take it (`Expect: 100-continue`, which the caller
+    /// sets). A remote that refuses answers without the body, and the connection stays usable.
+    bool body_on_agreement = false;
+    /// Until when the remote may agree.
+    time_point agreement_deadline = no_deadline;
 };
 
 /// Sends a request and reads its whole answer. An answer that arrives before the request's body is written
--- a/include/pomeloloft/net/server.hpp
+++ b/include/pomeloloft/net/server.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "pomeloloft/net/stream.hpp"
@@ -29,6 +30,19 @@
 /// Answers one request. Cancelled when the client closes its connection.
 using handler = std::function<task<reply>(request&)>;
 
+/// What is decided on a request whose client waits before it sends the body.
+struct body_verdict {
+    /// The answer to a request whose body is not wanted.
+    std::optional<response> refusal;
+    /// Released when the body has arrived or the connection has ended.
+    std::shared_ptr<const void> held_while_read;
+};
+
+/// Decides on the header of a request that expects `100-continue`; may wait. Cancelled when the client closes
+/// its connection.
+/// @param body_bytes size of the body that would follow; zero where it was not told.
+using body_screen = std::function<task<body_verdict>(request& header, std::uint64_t body_bytes)>;
+
 /// An HTTP/1.1 listener on the event loop.
 class server {
 public:
@@ -39,6 +53,9 @@
     /// The limits in force for requests from now on.
     server_limits limits;
 
+    /// Decides whether a body is taken from a client that asks first; all are where it is not set.
+    body_screen screen;
+
     /// The port in use.
     [[nodiscard]] std::uint16_t port() const;
 
--- a/include/pomeloloft/sidecar/choose.hpp
+++ b/include/pomeloloft/sidecar/choose.hpp
@@ -22,6 +22,8 @@
     std::uint32_t service_us = 0;
     /// Expected wait for the link of its VM, in milliseconds.
     std::uint32_t link_ms = 0;
+    /// Share of the requests that its target failed of late, in percent.
+    std::uint32_t failed_percent = 0;
     time_point told_at;
     /// Failures to reach it or its target in a row.
     std::uint32_t failures = 0;
@@ -42,6 +44,12 @@
 struct choice_options {
     /// Time a told load counts; it is taken to shrink evenly to nothing over this.
     milliseconds load_memory{1500};
+    /// Time a told share of failures counts. Longer than a load's: each sender that forgets it loses a
+    /// request.
+    milliseconds failure_memory{5000};
+    /// Added for a target that fails every request; grows with the square of the share, so that the few
+    /// failures of a sound target hardly count.
+    double failing_ms = 2000.0;
     /// Added to the expected time of an endpoint on another VM, in milliseconds.
     double peer_ms = 1.0;
     /// Added for each KB that a request carries to another VM: its time on the VM's link.
@@ -78,7 +86,8 @@
 [[nodiscard]] double expected_ms(const candidate& c, const choice& request, const choice_options& options);
 
 /// The untried endpoint that is expected to answer first; those passed over only when no other is left. Null
-/// when all were tried. Answers uneven and changing loads, with targets of unlike speed.
+/// when all were tried. Answers uneven and changing loads, with targets of unlike speed, and targets that
+/// fail fast and so seem to be free.
 [[nodiscard]] const candidate* choose(const choice& request, const choice_options& options);
 
 /// Notes that an endpoint or its target could not be reached.
@@ -94,6 +103,7 @@
     std::uint32_t slots = 1;
     std::uint32_t service_us = 0;
     std::uint32_t link_ms = 0;
+    std::uint32_t failed_percent = 0;
 };
 
 /// Takes in what an endpoint told.
--- a/include/pomeloloft/sidecar/gate.hpp
+++ b/include/pomeloloft/sidecar/gate.hpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -73,6 +74,11 @@
     /// connection is closed then.
     [[nodiscard]] net::task<try_result> serve(net::request& sent, target_call call);
 
+    /// The refusal of a request that could not run in time, asked before its body is taken.
+    /// @param arriving requests whose bodies are taken already and have not arrived.
+    [[nodiscard]] std::optional<try_result> refuse_early(const target_call& call,
+                                                         std::uint32_t arriving) const;
+
     /// What other sidecars are told with each answer.
     [[nodiscard]] load_report report() const;
 
@@ -105,11 +111,13 @@
 
     [[nodiscard]] std::uint32_t ahead_of(std::uint32_t priority) const;
     [[nodiscard]] gate_view view(std::uint32_t priority) const;
+    [[nodiscard]] bool takes(const target_call& call, time_point now) const;
     net::task<bool> wait_for_slot(target_call call);
     void grant_next();
     void set_reachable(bool now_reachable);
     void give_back();
     net::task<try_result> send(net::request& sent, const target_call& call);
+    void note_failure_share(const try_result& ended);
     try_result judge(const net::request& sent, net::exchange_result ended, bool reused);
 
     net::event_loop& loop;
@@ -119,6 +127,8 @@
     std::uint32_t running = 0;
     std::list<waiter*> waiting;
     smoothed_time service_time;
+    /// Smoothed share of the requests that the target failed or turned away.
+    double failure_share = 0;
     bool target_reachable = true;
     time_point retry_target_at;
 };
--- a/include/pomeloloft/sidecar/peers.hpp
+++ b/include/pomeloloft/sidecar/peers.hpp
@@ -10,6 +10,7 @@
 #include "pomeloloft/sidecar/board.hpp"
 #include "pomeloloft/sidecar/config_feed.hpp"
 #include "pomeloloft/sidecar/gate.hpp"
+#include "pomeloloft/sidecar/inbound_bodies.hpp"
 #include "pomeloloft/sidecar/member_record.hpp"
 #include "pomeloloft/traffic/attempt_registry.hpp"
 
@@ -30,6 +31,9 @@
     /// Answers what other sidecars send.
     [[nodiscard]] net::task<net::reply> answer(net::request& received);
 
+    /// Decides whether the body of a forwarded request is taken.
+    [[nodiscard]] net::task<net::body_verdict> screen_body(net::request& header, std::uint64_t body_bytes);
+
     /// Puts a changed entry of this node into the table and tells every known peer.
     void publish_self(member_state state);
 
@@ -57,6 +61,14 @@
 
     void take_news(const sync_message& news);
     net::task<net::reply> serve_forwarded(net::request& received);
+    /// A request that another sidecar sends to the target beside this one.
+    struct forwarded;
+    /// The refusal of a body that would come in vain.
+    [[nodiscard]] std::optional<try_result> refuse_body(const forwarded& asked,
+                                                        std::uint64_t body_bytes) const;
+    [[nodiscard]] forwarded read_forwarded(const net::request& received) const;
+    /// Tells the sender how its try ended, and how busy this node is.
+    [[nodiscard]] net::response make_answer(const std::string& request_id, try_result ended) const;
     net::reply serve_sync(const net::request& received);
     net::reply serve_fence(const net::request& received);
     net::task<std::optional<sync_message>> exchange_news(std::string node, net::tcp::endpoint address,
@@ -76,6 +88,7 @@
     config_feed& feed;
     net::client_pool& pool;
     attempt_registry attempts;
+    inbound_bodies bodies;
     std::uint32_t syncs_under_way = 0;
     bool heard = false;
 };
--- a/src/pomeloloft/cli/sidecar_commands.cpp
+++ b/src/pomeloloft/cli/sidecar_commands.cpp
@@ -107,7 +107,10 @@
     net::spawn(loop, watch_settings(daemon, path), "watch-settings");
     log_change("started", {{"service", own.service}, {"data_centre", own.data_centre}});
     loop.run();
-    return to_int(exit_code::ok);
+    // Requests cut off by the end of the grace time are still suspended; their coroutines use the daemon and
+    // the loop, so neither may be destroyed before them.
+    std::cout.flush();
+    std::quick_exit(to_int(exit_code::ok));
 }
 
 } // namespace pomeloloft
--- a/src/pomeloloft/net/client.cpp
+++ b/src/pomeloloft/net/client.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <optional>
 
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -31,9 +32,12 @@
     return is_malformed(failed) ? exchange_end::malformed : exchange_end::lost;
 }
 
-task<bool> write_watching(connection& on, const request& sent)
+using request_writer = http::request_serializer<http::string_body>;
+
+/// Writes what is left of a request; an answer that comes first ends the writing.
+task<bool> write_watching(connection& on, request_writer& writer)
 {
-    auto finished = co_await (http::async_write(on.stream, sent, use_task) ||
+    auto finished = co_await (http::async_write(on.stream, writer, use_task) ||
                               on.stream.socket().async_wait(tcp::socket::wait_read, use_task));
     if (finished.index() == 1) {
         co_return false;
@@ -66,26 +70,38 @@
     bool keep_alive = false;
 };
 
-task<read_result> read_answer(connection& on, const request& sent, const exchange_options& options)
+/// Reads one answer, which may be an interim one.
+task<read_result> read_any_answer(connection& on, const request& sent, const exchange_options& options)
 {
     read_result out;
+    response_parser parser;
+    parser.body_limit(options.max_body_bytes);
+    parser.skip(sent.method() == http::verb::head);
+    const auto [failed, read] = co_await http::async_read(on.stream, on.buffer, parser, use_task);
+    out.begun = parser.got_some();
+    if (failed) {
+        out.end = end_of(failed);
+        co_return out;
+    }
+    out.end = exchange_end::answered;
+    out.keep_alive = parser.keep_alive();
+    out.answer = parser.release();
+    co_return out;
+}
+
+bool is_interim(const read_result& read)
+{
+    return read.end == exchange_end::answered &&
+           to_status_class(read.answer.result()) == http::status_class::informational;
+}
+
+task<read_result> read_answer(connection& on, const request& sent, const exchange_options& options)
+{
     for (;;) {
-        response_parser parser;
-        parser.body_limit(options.max_body_bytes);
-        parser.skip(sent.method() == http::verb::head);
-        const auto [failed, read] = co_await http::async_read(on.stream, on.buffer, parser, use_task);
-        out.begun = parser.got_some();
-        if (failed) {
-            out.end = end_of(failed);
-            co_return out;
-        }
-        if (to_status_class(parser.get().result()) == http::status_class::informational) {
-            continue;
+        read_result read = co_await read_any_answer(on, sent, options);
+        if (!is_interim(read)) {
+            co_return read;
         }
-        out.end = exchange_end::answered;
-        out.keep_alive = parser.keep_alive();
-        out.answer = parser.release();
-        co_return out;
     }
 }
 
@@ -110,6 +126,15 @@
 
 } // namespace
 
+connection::~connection()
+{
+    if (this->in_exchange) {
+        // Fails only on a socket that is closed already.
+        error_code ignored;
+        this->stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    }
+}
+
 connection_ptr client_pool::take_idle(const tcp::endpoint& address, milliseconds max_idle)
 {
     const auto found = this->idle.find(address);
@@ -200,24 +225,84 @@
     std::erase_if(this->idle, [](const auto& entry) { return entry.second.empty(); });
 }
 
-task<exchange_result> exchange(connection& on, const request& sent, exchange_options options)
+namespace {
+
+/// What has become of the writing of a request.
+struct write_result {
+    /// The whole request was written.
+    bool whole = false;
+    bool timed_out = false;
+    bool body_withheld = false;
+    /// The answer of a remote that does not want the body.
+    std::optional<read_result> refusal;
+};
+
+/// Writes the header, and the body once the remote has agreed to take it.
+task<write_result> write_on_agreement(connection& on, const request& sent, const exchange_options& options,
+                                      request_writer& writer)
 {
-    exchange_result out;
+    write_result out;
+    out.body_withheld = true;
+    on.stream.expires_at(std::min(options.deadline, options.agreement_deadline));
+    const auto [failed, count] = co_await http::async_write_header(on.stream, writer, use_task);
+    if (failed) {
+        out.timed_out = failed == beast::error::timeout;
+        co_return out;
+    }
+    read_result first = co_await read_any_answer(on, sent, options);
+    if (!is_interim(first)) {
+        out.timed_out = first.end == exchange_end::timed_out;
+        // The remote knows that no body follows a refusal, so the next request may.
+        out.whole = true;
+        out.refusal = std::move(first);
+        co_return out;
+    }
+    out.body_withheld = false;
     on.stream.expires_at(options.deadline);
-    bool written = true;
-    if (sent.body().size() <= max_unwatched_body_bytes) {
-        const auto [failed, count] = co_await http::async_write(on.stream, sent, use_task);
-        written = !failed;
-        if (failed == beast::error::timeout) {
-            out.end = exchange_end::timed_out;
+    out.whole = co_await write_watching(on, writer);
+    co_return out;
+}
+
+task<write_result> write_request(connection& on, const request& sent, const exchange_options& options)
+{
+    request_writer writer(sent);
+    write_result out;
+    if (sent.body().size() > max_unwatched_body_bytes) {
+        if (options.body_on_agreement) {
+            out = co_await write_on_agreement(on, sent, options, writer);
             co_return out;
         }
-    } else {
-        written = co_await write_watching(on, sent);
+        out.whole = co_await write_watching(on, writer);
+        co_return out;
+    }
+    const auto [failed, count] = co_await http::async_write(on.stream, writer, use_task);
+    out.whole = !failed;
+    out.timed_out = failed == beast::error::timeout;
+    co_return out;
+}
+
+} // namespace
+
+task<exchange_result> exchange(connection& on, const request& sent, exchange_options options)
+{
+    exchange_result out;
+    on.in_exchange = true;
+    on.stream.expires_at(options.deadline);
+    write_result written = co_await write_request(on, sent, options);
+    out.body_withheld = written.body_withheld;
+    if (written.timed_out) {
+        out.end = exchange_end::timed_out;
+        co_return out;
     }
     // A remote may answer and close before it has read the request: whatever was answered is still read.
     for (int skipped = 0; skipped <= max_skipped_answers; ++skipped) {
-        read_result read = co_await read_answer(on, sent, options);
+        read_result read;
+        if (written.refusal) {
+            read = std::move(*written.refusal);
+            written.refusal.reset();
+        } else {
+            read = co_await read_answer(on, sent, options);
+        }
         out.end = read.end;
         out.answer_begun = out.answer_begun || read.begun;
         if (read.end != exchange_end::answered) {
@@ -228,7 +313,8 @@
             continue;
         }
         out.answer = std::move(read.answer);
-        out.reusable = written && skipped == 0 && read.keep_alive && on.buffer.size() == 0;
+        out.reusable = written.whole && skipped == 0 && read.keep_alive && on.buffer.size() == 0;
+        on.in_exchange = !out.reusable;
         if (const auto told = told_idle_time(out.answer)) {
             on.expires_at = steady_clock::now() + *told;
         }
--- a/src/pomeloloft/net/server.cpp
+++ b/src/pomeloloft/net/server.cpp
@@ -84,16 +84,39 @@
     co_return !failed;
 }
 
+/// How the reading of a request ended.
+enum class read_end : std::uint8_t {
+    whole,
+    /// Answered without its body; the connection can carry another request.
+    refused,
+    /// The connection is not usable any more.
+    broken,
+};
+
+/// Asks the client that waits for it to send its body, or answers with the refusal.
+/// @return `whole` when the body follows.
+task<read_end> answer_expectation(tcp_stream& stream, body_verdict& verdict, const server_limits& limits)
+{
+    if (!verdict.refusal) {
+        const bool sent = co_await send_continue(stream);
+        co_return sent ? read_end::whole : read_end::broken;
+    }
+    verdict.refusal->keep_alive(true);
+    const bool written = co_await write(stream, *verdict.refusal, limits.write_timeout);
+    co_return written ? read_end::refused : read_end::broken;
+}
+
 /// Reads a whole request; refuses it where it is malformed or beyond a limit.
-task<bool> read_request(tcp_stream& stream, beast::flat_buffer& buffer, request_parser& parser,
-                        const server_limits& limits)
+task<read_end> read_request(tcp_stream& stream, beast::flat_buffer& buffer, request_parser& parser,
+                            const server& self)
 {
+    const server_limits& limits = self.limits;
     if (buffer.size() == 0) {
         stream.expires_after(limits.idle_timeout);
         const auto [idle, read] =
             co_await stream.async_read_some(buffer.prepare(limits.max_header_bytes), use_task);
         if (idle) {
-            co_return false;
+            co_return read_end::broken;
         }
         buffer.commit(read);
     }
@@ -105,16 +128,27 @@
         if (is_malformed(failed) || failed == beast::error::timeout) {
             co_await refuse(stream, failed, limits);
         }
-        co_return false;
+        co_return read_end::broken;
     }
     if (parser.is_done()) {
-        co_return true;
+        co_return read_end::whole;
     }
     stream.expires_after(limits.body_timeout);
+    body_verdict verdict;
     if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
-        const bool sent = co_await send_continue(stream);
-        if (!sent) {
-            co_return false;
+        if (self.screen) {
+            stream.expires_never();
+            const std::uint64_t body_bytes = parser.content_length().value_or(0);
+            auto screened = co_await (self.screen(parser.get(), body_bytes) || wait_for_close(stream));
+            if (screened.index() == 1) {
+                co_return read_end::broken;
+            }
+            verdict = std::move(std::get<0>(screened));
+            stream.expires_after(limits.body_timeout);
+        }
+        const read_end asked = co_await answer_expectation(stream, verdict, limits);
+        if (asked != read_end::whole) {
+            co_return asked;
         }
     }
     const auto [cut, body_read] = co_await http::async_read(stream, buffer, parser, use_task);
@@ -122,9 +156,9 @@
         if (is_malformed(cut) || cut == beast::error::timeout) {
             co_await refuse(stream, cut, limits);
         }
-        co_return false;
+        co_return read_end::broken;
     }
-    co_return true;
+    co_return read_end::whole;
 }
 
 } // namespace
@@ -197,9 +231,9 @@
 task<bool> server::serve_one(server& self, tcp_stream& stream, beast::flat_buffer& buffer)
 {
     request_parser parser;
-    const bool whole = co_await read_request(stream, buffer, parser, self.limits);
-    if (!whole) {
-        co_return false;
+    const read_end ended = co_await read_request(stream, buffer, parser, self);
+    if (ended != read_end::whole) {
+        co_return ended == read_end::refused;
     }
     const active_scope counted(self.active_count);
     const bool keep_alive = parser.keep_alive();
--- a/src/pomeloloft/sidecar/choose.cpp
+++ b/src/pomeloloft/sidecar/choose.cpp
@@ -23,11 +23,18 @@
     return 1.0 + spread * (2.0 * draw - 1.0);
 }
 
-/// How much of what was told still counts.
-double freshness_of(const endpoint_load& load, time_point now, const choice_options& options)
+/// How much of what was told still counts, when it is forgotten evenly over `memory`.
+double freshness_of(const endpoint_load& load, time_point now, milliseconds memory)
 {
     const auto age = static_cast<double>(remaining(now, load.told_at).count());
-    return std::max(0.0, 1.0 - age / static_cast<double>(options.load_memory.count()));
+    return std::max(0.0, 1.0 - age / static_cast<double>(memory.count()));
+}
+
+double failing_ms_of(const endpoint_load& load, time_point now, const choice_options& options)
+{
+    constexpr double percent = 100.0;
+    const double share = load.failed_percent / percent;
+    return options.failing_ms * share * share * freshness_of(load, now, options.failure_memory);
 }
 
 const candidate* best_of(const choice& request, const choice_options& options, bool avoided)
@@ -52,7 +59,7 @@
 
 double believed_load(const endpoint_load& load, time_point now, const choice_options& options)
 {
-    const double told = (load.told + load.sent_since) * freshness_of(load, now, options);
+    const double told = (load.told + load.sent_since) * freshness_of(load, now, options.load_memory);
     return std::max<double>(load.in_flight, told);
 }
 
@@ -67,12 +74,14 @@
     double distance = c.own ? 0.0 : options.peer_ms;
     const double kb = static_cast<double>(request.body_bytes) / bytes_per_kb;
     if (!c.own) {
-        distance += options.peer_ms_per_kb * kb + load.link_ms * freshness_of(load, request.now, options);
+        distance +=
+            options.peer_ms_per_kb * kb + load.link_ms * freshness_of(load, request.now, options.load_memory);
     }
     if (!c.own && !c.same_data_centre) {
         distance += options.far_ms + options.far_ms_per_kb * kb;
     }
-    return wait + service * (1.0 + options.busy_share * busy) + distance;
+    const double failing = failing_ms_of(load, request.now, options);
+    return wait + service * (1.0 + options.busy_share * busy) + distance + failing;
 }
 
 const candidate* choose(const choice& request, const choice_options& options)
@@ -102,6 +111,7 @@
     load.slots = std::max(told.slots, 1U);
     load.service_us = told.service_us;
     load.link_ms = told.link_ms;
+    load.failed_percent = told.failed_percent;
     load.told_at = now;
 }
 
--- a/src/pomeloloft/sidecar/daemon.cpp
+++ b/src/pomeloloft/sidecar/daemon.cpp
@@ -101,7 +101,15 @@
     BOOST_OUTCOME_TRY(this->inbound,
                       net::server::start(this->loop, own.peer_address, "peer address",
                                          [this](net::request& r) { return this->peers.answer(r); }));
-    this->feed.on_config = [this] { this->apply_limits(); };
+    this->inbound->screen = [this](net::request& header, std::uint64_t body_bytes) {
+        return this->peers.screen_body(header, body_bytes);
+    };
+    this->feed.on_config = [this] {
+        this->apply_limits();
+        if (this->shared.self.state == member_state::idle) {
+            this->publish();
+        }
+    };
     this->feed.on_store = [this] { this->publish(); };
     this->peers.on_earlier_self = [this](const member& earlier) { this->note_earlier_self(earlier); };
     this->gate.on_reachable = [this](bool reachable) {
@@ -252,7 +260,9 @@
     if (target.state == target_state::leaving) {
         state = member_state::draining;
     } else if (target.state == target_state::serving && this->gate.reachable() && this->trusts_reports()) {
-        state = this->shared.stopping ? member_state::idle : member_state::serving;
+        // While the first configuration arrives, it fills the link of a small VM.
+        const bool settled = this->shared.config.load() != nullptr && !this->shared.stopping;
+        state = settled ? member_state::serving : member_state::idle;
     }
     this->peers.publish_self(state);
 }
--- a/src/pomeloloft/sidecar/gate.cpp
+++ b/src/pomeloloft/sidecar/gate.cpp
@@ -17,6 +17,8 @@
 constexpr milliseconds max_idle_unrepeatable{1000};
 constexpr milliseconds max_idle_repeatable{5000};
 constexpr milliseconds probe_timeout{700};
+/// Weight of one answer in the share of failures: a target that turns bad is known by it after a few.
+constexpr double failure_sample_weight = 0.1;
 /// Service time assumed before the first answer.
 constexpr std::chrono::microseconds assumed_service_time{50'000};
 
@@ -89,9 +91,14 @@
 
 load_report target_gate::report() const
 {
+    constexpr double percent = 100.0;
     const bool open = may_dispatch(this->target, steady_clock::now()) && this->target_reachable;
-    return {this->running, static_cast<std::uint32_t>(this->waiting.size()), open ? this->target.slots : 0,
-            this->service_time.micros()};
+    return {this->running,
+            static_cast<std::uint32_t>(this->waiting.size()),
+            open ? this->target.slots : 0,
+            this->service_time.micros(),
+            0,
+            static_cast<std::uint32_t>(this->failure_share * percent)};
 }
 
 void target_gate::grant_next()
@@ -114,8 +121,21 @@
     this->grant_next();
 }
 
+void target_gate::note_failure_share(const try_result& ended)
+{
+    if (ended.outcome == try_outcome::timed_out) {
+        return;
+    }
+    // A gateway time-out is the caller's deadline, not the target's fault.
+    const bool failed = ended.outcome != try_outcome::answered ||
+                        (to_status_class(ended.answer.result()) == net::http::status_class::server_error &&
+                         ended.answer.result() != net::http::status::gateway_timeout);
+    this->failure_share += ((failed ? 1.0 : 0.0) - this->failure_share) * failure_sample_weight;
+}
+
 void target_gate::target_changed()
 {
+    this->failure_share = 0;
     this->retry_target_at = {};
     this->set_reachable(true);
     this->grant_next();
@@ -163,12 +183,35 @@
     co_return self.granted;
 }
 
+bool target_gate::takes(const target_call& call, time_point now) const
+{
+    const bool known = call.service == this->own.service && may_dispatch(this->target, now);
+    return known && (this->target_reachable || now >= this->retry_target_at);
+}
+
+std::optional<try_result> target_gate::refuse_early(const target_call& call, std::uint32_t arriving) const
+{
+    try_result out;
+    const time_point now = steady_clock::now();
+    if (!this->takes(call, now)) {
+        return out;
+    }
+    gate_view seen = this->view(call.priority);
+    seen.ahead += arriving;
+    const gate_verdict verdict = decide_entry(seen, {call.priority, call.deadline, call.max_wait}, now);
+    if (verdict == gate_verdict::run || verdict == gate_verdict::wait) {
+        return std::nullopt;
+    }
+    out.outcome = try_outcome::refused;
+    out.wait = std::chrono::duration_cast<milliseconds>(expected_wait(seen));
+    return out;
+}
+
 net::task<try_result> target_gate::serve(net::request& sent, target_call call)
 {
     try_result out;
     time_point now = steady_clock::now();
-    const bool known = call.service == this->own.service && may_dispatch(this->target, now);
-    if (!known || (!this->target_reachable && now < this->retry_target_at)) {
+    if (!this->takes(call, now)) {
         co_return out;
     }
     const gate_view seen = this->view(call.priority);
@@ -226,6 +269,7 @@
         this->pool.release(this->address, std::move(on));
     }
     out = this->judge(sent, std::move(ended), reused);
+    this->note_failure_share(out);
     if (out.outcome == try_outcome::answered) {
         this->service_time.add(held);
         this->set_reachable(true);
--- a/src/pomeloloft/sidecar/peers.cpp
+++ b/src/pomeloloft/sidecar/peers.cpp
@@ -20,6 +20,11 @@
 
 constexpr milliseconds sync_timeout{1000};
 constexpr milliseconds inquiry_timeout{150};
+/// Bodies of this size are offered before they are sent: a smaller one costs less than the question.
+constexpr std::size_t least_offered_bytes = 8U << 10U;
+/// Time beyond the longest wait in which a peer takes or refuses a body; where it is silent, others are
+/// asked.
+constexpr milliseconds offer_timeout{600};
 /// Time the peer's own time-out takes to arrive.
 constexpr milliseconds answer_margin{40};
 /// One exchange with a random peer in this time on average: a change that every push missed still arrives
@@ -39,7 +44,7 @@
 {
     return std::to_string(load.running) + ' ' + std::to_string(load.waiting) + ' ' +
            std::to_string(load.slots) + ' ' + std::to_string(load.service_us) + ' ' +
-           std::to_string(load.link_ms);
+           std::to_string(load.link_ms) + ' ' + std::to_string(load.failed_percent);
 }
 
 std::optional<load_report> decode_load(std::string_view text)
@@ -47,7 +52,8 @@
     load_report out;
     const char* at = text.data();
     const char* end = at + text.size();
-    for (std::uint32_t* field : {&out.running, &out.waiting, &out.slots, &out.service_us, &out.link_ms}) {
+    for (std::uint32_t* field :
+         {&out.running, &out.waiting, &out.slots, &out.service_us, &out.link_ms, &out.failed_percent}) {
         while (at != end && *at == ' ') {
             ++at;
         }
@@ -86,7 +92,7 @@
 
 peer_links::peer_links(net::event_loop& where, board& all, target_gate& own_gate, config_feed& configs,
                        net::client_pool& peers)
-    : loop(where), shared(all), gate(own_gate), feed(configs), pool(peers)
+    : loop(where), shared(all), gate(own_gate), feed(configs), pool(peers), bodies(where, all.own.link_mbps)
 {}
 
 net::task<try_result> peer_links::forward(net::request& sent, const candidate& to, net::tcp::endpoint address,
@@ -117,9 +123,19 @@
     net::exchange_options options;
     options.deadline = call.deadline + answer_margin;
     options.id_header = this->shared.own.headers.request_id;
+    if (sent.body().size() > least_offered_bytes) {
+        sent.set(net::http::field::expect, "100-continue");
+        options.body_on_agreement = true;
+        options.agreement_deadline = now + call.max_wait + offer_timeout;
+    }
     net::exchange_result ended = co_await net::exchange(*connected.value(), sent, options);
+    sent.erase(net::http::field::expect);
     if (ended.end != net::exchange_end::answered) {
         this->pool.discard(address);
+        if (ended.body_withheld) {
+            out.detail = "peer did not answer the offer of a body";
+            co_return out;
+        }
         const bool timed_out = ended.end == net::exchange_end::timed_out;
         out.outcome = timed_out ? try_outcome::timed_out : try_outcome::lost;
         if (!call.idempotent) {
@@ -195,49 +211,119 @@
     co_return net::reply{net::make_response(net::http::status::not_found)};
 }
 
-net::task<net::reply> peer_links::serve_forwarded(net::request& received)
-{
+struct peer_links::forwarded {
     target_call call;
-    call.service = net::header_text(received, peer_header::service);
-    call.priority = header_number<net::request, std::uint32_t>(received, peer_header::priority, 0);
-    call.max_wait = milliseconds(header_number<net::request, int>(received, peer_header::max_wait, 0));
+    std::string attempt;
+    std::string request_id;
+    bool meant_for_me = false;
+};
+
+peer_links::forwarded peer_links::read_forwarded(const net::request& received) const
+{
+    forwarded out;
+    out.call.service = net::header_text(received, peer_header::service);
+    out.call.priority = header_number<net::request, std::uint32_t>(received, peer_header::priority, 0);
+    out.call.max_wait = milliseconds(header_number<net::request, int>(received, peer_header::max_wait, 0));
     const int left = header_number<net::request, int>(received, peer_header::time_left, 0);
-    call.deadline = steady_clock::now() + milliseconds(left);
-    call.idempotent = received[peer_header::idempotent] == "1";
-    const std::string attempt(net::header_text(received, peer_header::attempt));
-    const std::string id(net::header_text(received, this->shared.own.headers.request_id));
-    const bool meant_for_me =
+    out.call.deadline = steady_clock::now() + milliseconds(left);
+    out.call.idempotent = received[peer_header::idempotent] == "1";
+    out.attempt = net::header_text(received, peer_header::attempt);
+    out.request_id = net::header_text(received, this->shared.own.headers.request_id);
+    out.meant_for_me =
         !is_for_other_node(net::header_text(received, peer_header::process), this->shared.own.node);
+    return out;
+}
+
+net::response peer_links::make_answer(const std::string& request_id, try_result ended) const
+{
+    const time_point now = steady_clock::now();
+    net::response out = ended.outcome == try_outcome::answered ? std::move(ended.answer)
+                                                               : net::make_response(net::http::status::ok);
+    out.set(this->shared.own.headers.request_id, request_id);
+    out.set(peer_header::outcome, std::string(name_of(try_outcome_names, ended.outcome)));
+    if (ended.broke_target) {
+        out.set(peer_header::broke_target, "1");
+    }
+    out.set(peer_header::wait, std::to_string(ended.wait.count()));
+    load_report report = this->gate.report();
+    report.waiting += this->bodies.count();
+    const auto backlog_ms = static_cast<std::uint32_t>(this->bodies.expected_wait().count());
+    report.link_ms = std::max(this->shared.link.wait_ms(now), backlog_ms);
+    out.set(peer_header::load, encode_load(report));
+    out.set(peer_header::config, std::to_string(config_version(this->shared)));
+    return out;
+}
+
+std::optional<try_result> peer_links::refuse_body(const forwarded& asked, std::uint64_t body_bytes) const
+{
+    const time_point now = steady_clock::now();
+    if (!asked.meant_for_me || now >= this->shared.peers_refused_from) {
+        return try_result{};
+    }
+    if (auto refused = this->gate.refuse_early(asked.call, this->bodies.count())) {
+        return refused;
+    }
+    const milliseconds wait = this->bodies.expected_wait();
+    const milliseconds arrival = wait + this->bodies.transfer_time(body_bytes);
+    if (wait <= asked.call.max_wait && arrival < remaining(asked.call.deadline, now)) {
+        return std::nullopt;
+    }
+    try_result refused;
+    refused.outcome = try_outcome::refused;
+    refused.wait = wait;
+    return refused;
+}
+
+net::task<net::body_verdict> peer_links::screen_body(net::request& header, std::uint64_t body_bytes)
+{
+    net::body_verdict out;
+    const forwarded asked = this->read_forwarded(header);
+    std::optional<try_result> refused = this->refuse_body(asked, body_bytes);
+    if (!refused) {
+        // The sender gives up a little later, so that it still learns of the refusal.
+        const time_point give_up_at = steady_clock::now() + asked.call.max_wait;
+        out.held_while_read =
+            co_await this->bodies.admit(body_bytes, std::min(give_up_at, asked.call.deadline));
+    }
+    if (!out.held_while_read) {
+        if (!refused) {
+            refused.emplace();
+            refused->outcome = try_outcome::refused;
+            refused->wait = this->bodies.expected_wait();
+        }
+        out.refusal = this->make_answer(asked.request_id, std::move(*refused));
+    }
+    co_return out;
+}
+
+net::task<net::reply> peer_links::serve_forwarded(net::request& received)
+{
+    forwarded asked = this->read_forwarded(received);
+    const std::string& attempt = asked.attempt;
+    if (received.find(net::http::field::expect) != received.end()) {
+        // Its body was taken, and refusing it now would waste that.
+        asked.call.max_wait = remaining(asked.call.deadline, steady_clock::now()) / 2;
+    }
     for (const char* name :
          {peer_header::service, peer_header::priority, peer_header::max_wait, peer_header::time_left,
           peer_header::idempotent, peer_header::attempt, peer_header::process, peer_header::config}) {
         received.erase(name);
     }
+    received.erase(net::http::field::expect);
     try_result ended;
     const bool is_first =
         attempt.empty() || (this->attempts.arrive(attempt) && this->attempts.begin(attempt));
     const bool leaves = steady_clock::now() >= this->shared.peers_refused_from;
-    const bool may_run = meant_for_me && is_first && !leaves;
+    const bool may_run = asked.meant_for_me && is_first && !leaves;
     if (may_run) {
-        ended = co_await this->gate.serve(received, call);
+        ended = co_await this->gate.serve(received, asked.call);
     }
     if (!attempt.empty()) {
         this->attempts.finish(attempt, ended.outcome != try_outcome::refused &&
                                            ended.outcome != try_outcome::unavailable);
     }
-    net::reply out{ended.outcome == try_outcome::answered ? std::move(ended.answer)
-                                                          : net::make_response(net::http::status::ok)};
-    out.answer.set(this->shared.own.headers.request_id, id);
-    out.answer.set(peer_header::outcome, std::string(name_of(try_outcome_names, ended.outcome)));
-    if (ended.broke_target) {
-        out.answer.set(peer_header::broke_target, "1");
-    }
-    out.answer.set(peer_header::wait, std::to_string(ended.wait.count()));
-    this->shared.link.note(received.body().size() + out.answer.body().size(), steady_clock::now());
-    load_report report = this->gate.report();
-    report.link_ms = this->shared.link.wait_ms(steady_clock::now());
-    out.answer.set(peer_header::load, encode_load(report));
-    out.answer.set(peer_header::config, std::to_string(config_version(this->shared)));
+    this->shared.link.note(received.body().size() + ended.answer.body().size(), steady_clock::now());
+    net::reply out{this->make_answer(asked.request_id, std::move(ended))};
     co_return out;
 }
 
--- a/src/pomeloloft/sidecar/policy_test.cpp
+++ b/src/pomeloloft/sidecar/policy_test.cpp
@@ -111,7 +111,21 @@
     return out;
 }
 
+/// A target that fails fast, and so seems to be free.
+endpoint_load failing_load(std::uint32_t failed_percent)
+{
+    endpoint_load out = load_of(0, 2'000);
+    out.failed_percent = failed_percent;
+    return out;
+}
+
 const choice_row choice_rows[] = {
+    {"not one that fails all requests fast", false, true, true, failing_load(95), load_of(30, 90'000), 0,
+     "second"},
+    {"not one that fails half of them", false, true, true, failing_load(50), load_of(9, 90'000), 0, "second"},
+    {"not the own one that fails", true, true, true, failing_load(95), load_of(9, 90'000), 0, "second"},
+    {"one with the usual few failures", false, true, true, failing_load(4), load_of(9, 90'000), 0, "first"},
+    {"the better of two that fail", false, true, true, failing_load(95), failing_load(60), 0, "second"},
     {"the faster target", false, true, true, load_of(3, 90'000), load_of(3, 40'000), 0, "second"},
     {"a free one before a full one", false, true, true, load_of(20, 60'000), load_of(0, 60'000), 0, "second"},
     {"the own one among equals", true, true, true, load_of(0, 20'000), load_of(0, 30'000), 0, "first"},
