--- a/include/pomeloloft/sidecar/admission.hpp
+++ b/include/pomeloloft/sidecar/admission.hpp
@@ -26,6 +26,11 @@
     milliseconds max_wait{0};
 };
 
+/// Whether a waiting request is served before another: by priority, then by deadline. Calls made by a running
+/// request have short deadlines, and one that fails wastes the run that made it; large requests have long
+/// ones.
+[[nodiscard]] bool is_served_before(const gate_request& first, const gate_request& second);
+
 /// What becomes of a request at the gate.
 enum class gate_verdict : std::uint8_t { run, wait, refuse_full, refuse_deadline };
 
--- a/include/pomeloloft/sidecar/choose.hpp
+++ b/include/pomeloloft/sidecar/choose.hpp
@@ -58,7 +58,7 @@
     double far_ms = 60.0;
     /// Added for each KB that a request carries to another data centre.
     double far_ms_per_kb = 2.0;
-    /// Assumed service time where none is known.
+    /// Assumed service time where no endpoint has told one.
     double default_service_ms = 50.0;
     /// Share of the service time added at full load, as targets slow down when they are nearly full.
     double busy_share = 0.3;
--- a/include/pomeloloft/sidecar/gate.hpp
+++ b/include/pomeloloft/sidecar/gate.hpp
@@ -62,6 +62,8 @@
     std::string_view detail;
     /// The target's connection broke while it ran the request.
     bool broke_target = false;
+    /// The sidecar beside the target did not answer in time.
+    bool peer_silent = false;
 };
 
 /// Owns the slots, the queue and the connections of the target beside this process. Belongs to one event
@@ -109,8 +111,8 @@
     struct waiter;
     class slot;
 
-    [[nodiscard]] std::uint32_t ahead_of(std::uint32_t priority) const;
-    [[nodiscard]] gate_view view(std::uint32_t priority) const;
+    [[nodiscard]] std::uint32_t ahead_of(const gate_request& asked) const;
+    [[nodiscard]] gate_view view(const gate_request& asked) const;
     [[nodiscard]] bool takes(const target_call& call, time_point now) const;
     net::task<bool> wait_for_slot(target_call call);
     void grant_next();
@@ -131,6 +133,8 @@
     double failure_share = 0;
     bool target_reachable = true;
     time_point retry_target_at;
+    /// When the target last answered a request.
+    time_point answered_at;
 };
 
 } // namespace pomeloloft::sidecar
--- a/src/pomeloloft/sidecar/admission.cpp
+++ b/src/pomeloloft/sidecar/admission.cpp
@@ -1,9 +1,15 @@
 #include "pomeloloft/sidecar/admission.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace pomeloloft::sidecar {
 
+bool is_served_before(const gate_request& first, const gate_request& second)
+{
+    return std::tie(first.priority, first.deadline) < std::tie(second.priority, second.deadline);
+}
+
 std::chrono::microseconds expected_wait(const gate_view& view)
 {
     if (view.running < view.slots && view.ahead == 0) {
--- a/src/pomeloloft/sidecar/entry.cpp
+++ b/src/pomeloloft/sidecar/entry.cpp
@@ -246,7 +246,7 @@
     } else {
         out = co_await this->peers.forward(sent, chosen, address, call);
     }
-    if (out.outcome == try_outcome::unavailable || out.outcome == try_outcome::lost) {
+    if (out.outcome == try_outcome::unavailable || out.outcome == try_outcome::lost || out.peer_silent) {
         note_failure(load, steady_clock::now(), this->options);
     } else if (out.outcome == try_outcome::answered) {
         note_success(load);
--- a/src/pomeloloft/sidecar/gate.cpp
+++ b/src/pomeloloft/sidecar/gate.cpp
@@ -12,6 +12,8 @@
 constexpr milliseconds connect_timeout{250};
 /// A target that could not be reached is tried again after this.
 constexpr milliseconds unreachable_pause{250};
+/// A target that answered within this time is there, even if it takes no further connection.
+constexpr milliseconds answering_time{500};
 /// Idle time up to which a connection carries a request that must not run twice: targets may drop idle
 /// connections early, and a request sent into the drop counts as possibly run.
 constexpr milliseconds max_idle_unrepeatable{1000};
@@ -36,6 +38,11 @@
     return parsed ? parsed.value() : net::tcp::endpoint{};
 }
 
+gate_request request_of(const target_call& call)
+{
+    return {call.priority, call.deadline, call.max_wait};
+}
+
 error failed_probe(net::exchange_end end)
 {
     return {pomeloloft::error_code::unavailable, "health check",
@@ -51,9 +58,9 @@
 
 /// A request waiting for a slot.
 struct target_gate::waiter {
-    waiter(net::event_loop& loop, std::uint32_t rank) : priority(rank), ready(loop.get_executor()) {}
+    waiter(net::event_loop& loop, const gate_request& asked) : request(asked), ready(loop.get_executor()) {}
 
-    std::uint32_t priority;
+    gate_request request;
     net::timer ready;
     bool granted = false;
 };
@@ -75,17 +82,17 @@
       pool(where, target_pool_options())
 {}
 
-std::uint32_t target_gate::ahead_of(std::uint32_t priority) const
+std::uint32_t target_gate::ahead_of(const gate_request& asked) const
 {
     return static_cast<std::uint32_t>(
         std::count_if(this->waiting.begin(), this->waiting.end(),
-                      [priority](const waiter* w) { return w->priority <= priority; }));
+                      [&asked](const waiter* w) { return !is_served_before(asked, w->request); }));
 }
 
-gate_view target_gate::view(std::uint32_t priority) const
+gate_view target_gate::view(const gate_request& asked) const
 {
     const std::uint32_t known = this->service_time.micros();
-    return {this->target.slots, this->running, this->ahead_of(priority),
+    return {this->target.slots, this->running, this->ahead_of(asked),
             known > 0 ? std::chrono::microseconds(known) : assumed_service_time};
 }
 
@@ -104,9 +111,9 @@
 void target_gate::grant_next()
 {
     while (this->running < this->target.slots && !this->waiting.empty()) {
-        const auto first =
-            std::min_element(this->waiting.begin(), this->waiting.end(),
-                             [](const waiter* a, const waiter* b) { return a->priority < b->priority; });
+        const auto first = std::min_element(
+            this->waiting.begin(), this->waiting.end(),
+            [](const waiter* a, const waiter* b) { return is_served_before(a->request, b->request); });
         waiter* next = *first;
         this->waiting.erase(first);
         next->granted = true;
@@ -157,7 +164,7 @@
 
 net::task<bool> target_gate::wait_for_slot(target_call call)
 {
-    waiter self(this->loop, call.priority);
+    waiter self(this->loop, request_of(call));
     // Leaves the queue, or gives the slot back, when the wait is cancelled.
     struct leave_queue {
         target_gate& gate;
@@ -196,9 +203,10 @@
     if (!this->takes(call, now)) {
         return out;
     }
-    gate_view seen = this->view(call.priority);
+    const gate_request asked = request_of(call);
+    gate_view seen = this->view(asked);
     seen.ahead += arriving;
-    const gate_verdict verdict = decide_entry(seen, {call.priority, call.deadline, call.max_wait}, now);
+    const gate_verdict verdict = decide_entry(seen, asked, now);
     if (verdict == gate_verdict::run || verdict == gate_verdict::wait) {
         return std::nullopt;
     }
@@ -214,8 +222,9 @@
     if (!this->takes(call, now)) {
         co_return out;
     }
-    const gate_view seen = this->view(call.priority);
-    const gate_verdict verdict = decide_entry(seen, {call.priority, call.deadline, call.max_wait}, now);
+    const gate_request asked = request_of(call);
+    const gate_view seen = this->view(asked);
+    const gate_verdict verdict = decide_entry(seen, asked, now);
     out.wait = std::chrono::duration_cast<milliseconds>(expected_wait(seen));
     out.outcome = try_outcome::refused;
     if (verdict == gate_verdict::run) {
@@ -248,8 +257,11 @@
     const milliseconds max_idle = call.idempotent ? max_idle_repeatable : max_idle_unrepeatable;
     auto connected = co_await this->pool.acquire(this->address, call.deadline, max_idle);
     if (!connected) {
-        const bool refused_by_target = steady_clock::now() < call.deadline;
-        if (refused_by_target) {
+        const time_point now = steady_clock::now();
+        if (now - this->answered_at < answering_time) {
+            // It answers others and takes no more connections: busy, not gone.
+            out.outcome = try_outcome::refused;
+        } else if (now < call.deadline) {
             this->set_reachable(false);
         }
         co_return out;
@@ -271,6 +283,7 @@
     out = this->judge(sent, std::move(ended), reused);
     this->note_failure_share(out);
     if (out.outcome == try_outcome::answered) {
+        this->answered_at = steady_clock::now();
         this->service_time.add(held);
         this->set_reachable(true);
     }
--- a/src/pomeloloft/sidecar/peers.cpp
+++ b/src/pomeloloft/sidecar/peers.cpp
@@ -134,6 +134,7 @@
         this->pool.discard(address);
         if (ended.body_withheld) {
             out.detail = "peer did not answer the offer of a body";
+            out.peer_silent = true;
             co_return out;
         }
         const bool timed_out = ended.end == net::exchange_end::timed_out;
@@ -141,6 +142,7 @@
         if (!call.idempotent) {
             out = co_await this->settle_loss(address, attempt, timed_out);
         }
+        out.peer_silent = timed_out;
         out.detail = connected.value()->reused ? "reused connection to the peer ended"
                                                : "connection to the peer ended";
         co_return out;
--- a/src/pomeloloft/sidecar/policy_test.cpp
+++ b/src/pomeloloft/sidecar/policy_test.cpp
@@ -47,6 +47,27 @@
     {"no time left", {9, 0, 0, ms_60}, milliseconds{100}, milliseconds{0}, gate_verdict::refuse_deadline},
 };
 
+struct order_row {
+    const char* name;
+    std::uint32_t first_priority;
+    milliseconds first_left;
+    std::uint32_t second_priority;
+    milliseconds second_left;
+    bool first_before;
+};
+
+std::ostream& operator<<(std::ostream& out, const order_row& row)
+{
+    return out << row.name;
+}
+
+const order_row order_rows[] = {
+    {"the more urgent class", 0, milliseconds{900}, 1, milliseconds{100}, true},
+    {"a call of a running request before an upload", 1, milliseconds{500}, 1, milliseconds{6000}, true},
+    {"an upload after a call", 1, milliseconds{6000}, 1, milliseconds{500}, false},
+    {"an equal one does not pass", 1, milliseconds{500}, 1, milliseconds{500}, false},
+};
+
 struct step_row {
     const char* name;
     bool idempotent;
@@ -125,6 +146,8 @@
     {"not one that fails half of them", false, true, true, failing_load(50), load_of(9, 90'000), 0, "second"},
     {"not the own one that fails", true, true, true, failing_load(95), load_of(9, 90'000), 0, "second"},
     {"one with the usual few failures", false, true, true, failing_load(4), load_of(9, 90'000), 0, "first"},
+    {"not a new one with a long queue, as it is hardly faster than others", false, true, true, load_of(30, 0),
+     load_of(9, 200'000), 0, "second"},
     {"the better of two that fail", false, true, true, failing_load(95), failing_load(60), 0, "second"},
     {"the faster target", false, true, true, load_of(3, 90'000), load_of(3, 40'000), 0, "second"},
     {"a free one before a full one", false, true, true, load_of(20, 60'000), load_of(0, 60'000), 0, "second"},
@@ -147,6 +170,14 @@
     BOOST_TEST((decide_entry(sample.view, request, now) == sample.verdict));
 }
 
+BOOST_DATA_TEST_CASE(a_slot_goes_to_the_urgent_first, boost::unit_test::data::make(order_rows))
+{
+    const time_point now = steady_clock::now();
+    const gate_request first{sample.first_priority, now + sample.first_left};
+    const gate_request second{sample.second_priority, now + sample.second_left};
+    BOOST_TEST(is_served_before(first, second) == sample.first_before);
+}
+
 BOOST_DATA_TEST_CASE(a_try_is_followed_by_what_is_safe, boost::unit_test::data::make(step_rows))
 {
     const time_point now = steady_clock::now();
