--- /dev/null
+++ b/src/pomeloloft/sidecar/gate_test.cpp
@@ -0,0 +1,151 @@
+#include <array>
+#include <memory>
+#include <string>
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "pomeloloft/net/server.hpp"
+#include "pomeloloft/net/spawn.hpp"
+#include "pomeloloft/net/timer.hpp"
+#include "pomeloloft/sidecar/gate.hpp"
+
+namespace pomeloloft::sidecar {
+namespace {
+
+constexpr milliseconds work_time{200};
+
+settings gate_settings(std::uint16_t port)
+{
+    settings out;
+    out.service = "register";
+    out.target_address = "127.0.0.1:" + std::to_string(port);
+    out.headers = {"x-id", "x-left", "x-expected", "x-instance", "x-not-run", "x-signature", "x-caller"};
+    return out;
+}
+
+/// A target that works for a while, and its gate.
+struct gated_target {
+    gated_target()
+    {
+        auto opened = net::server::start(this->loop, "127.0.0.1:0", "test",
+                                         [this](net::request& received) { return this->answer(received); });
+        BOOST_REQUIRE(opened);
+        this->listener = opened.value();
+        this->own = gate_settings(this->listener->port());
+        this->gate = std::make_unique<target_gate>(this->loop, this->own);
+        target_report started;
+        started.instance = {"i-1", 1};
+        started.service = "register";
+        started.slots = 4;
+        started.sequence = 1;
+        apply_report(this->gate->target, started, steady_clock::now());
+    }
+
+    net::task<net::reply> answer(net::request& received)
+    {
+        co_await net::sleep_for(work_time);
+        net::reply out{net::make_response(this->status, "done")};
+        out.answer.set("x-id", std::string(net::header_text(received, "x-id")));
+        out.answer.set("x-signature", "s");
+        co_return out;
+    }
+
+    net::task<void> send(std::string id, try_outcome& out)
+    {
+        net::request sent{net::http::verb::get, "/", 11};
+        sent.set("x-id", id);
+        target_call call;
+        call.service = "register";
+        call.deadline = steady_clock::now() + milliseconds{2000};
+        call.idempotent = true;
+        const try_result ended = co_await this->gate->serve(sent, call);
+        out = ended.outcome;
+    }
+
+    void begin(const std::string& id, try_outcome& out)
+    {
+        net::spawn(this->loop, this->send(id, out), "send");
+    }
+
+    net::event_loop loop;
+    std::shared_ptr<net::server> listener;
+    settings own;
+    std::unique_ptr<target_gate> gate;
+    net::http::status status = net::http::status::ok;
+};
+
+struct failing_row {
+    const char* name;
+    net::http::status status;
+    std::uint32_t least_percent;
+    std::uint32_t most_percent;
+};
+
+std::ostream& operator<<(std::ostream& out, const failing_row& row)
+{
+    return out << row.name;
+}
+
+const failing_row failing_rows[] = {
+    {"a sound target", net::http::status::ok, 0, 0},
+    {"callers' errors", net::http::status::not_found, 0, 0},
+    {"callers' time-outs", net::http::status::gateway_timeout, 0, 0},
+    {"a target that fails", net::http::status::internal_server_error, 25, 100},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(target_gates)
+
+BOOST_AUTO_TEST_CASE(a_busy_target_that_takes_no_connection_is_not_gone)
+{
+    gated_target t;
+    try_outcome first = try_outcome::lost;
+    try_outcome second = try_outcome::lost;
+    try_outcome third = try_outcome::lost;
+    t.begin("1", first);
+    t.loop.run_for(2 * work_time);
+    BOOST_TEST((first == try_outcome::answered));
+    // The second takes the first one's connection; the third finds no listener.
+    t.listener->stop();
+    t.begin("2", second);
+    t.begin("3", third);
+    t.loop.restart();
+    t.loop.run_for(work_time / 2);
+    BOOST_TEST((third == try_outcome::refused));
+    BOOST_TEST(t.gate->reachable());
+    t.loop.restart();
+    t.loop.run_for(work_time);
+    BOOST_TEST((second == try_outcome::answered));
+}
+
+BOOST_AUTO_TEST_CASE(a_target_that_takes_no_connection_and_answers_nobody_is_gone)
+{
+    gated_target t;
+    try_outcome ended = try_outcome::lost;
+    t.listener->stop();
+    t.begin("1", ended);
+    t.loop.run_for(work_time);
+    BOOST_TEST((ended == try_outcome::unavailable));
+    BOOST_TEST(!t.gate->reachable());
+}
+
+BOOST_DATA_TEST_CASE(the_share_of_failures_is_told, boost::unit_test::data::make(failing_rows), row)
+{
+    gated_target t;
+    t.status = row.status;
+    std::array<try_outcome, 4> ended{};
+    for (try_outcome& one : ended) {
+        t.begin("x", one);
+    }
+    t.loop.run_for(2 * work_time);
+    const std::uint32_t told = t.gate->report().failed_percent;
+    BOOST_TEST(told >= row.least_percent);
+    BOOST_TEST(told <= row.most_percent);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace pomeloloft::sidecar
