--- a/src/pomeloloft/net/exchange_test.cpp
+++ b/src/pomeloloft/net/exchange_test.cpp
@@ -15,11 +15,11 @@
 namespace {
 
 /// What a remote does with the offer of a body.
-enum class offer_mood : std::uint8_t { takes, refuses, silent };
+enum class offer_reaction : std::uint8_t { takes, refuses, silent };
 
 struct offer_row {
     const char* name;
-    offer_mood mood;
+    offer_reaction reaction;
     exchange_end end;
     http::status status;
     /// Bodies that reached the remote's handler.
@@ -34,10 +34,10 @@
 }
 
 const offer_row offer_rows[] = {
-    {"a body that is taken", offer_mood::takes, exchange_end::answered, http::status::ok, 1, true, false},
-    {"a body that is refused", offer_mood::refuses, exchange_end::answered, http::status::conflict, 0, true,
-     true},
-    {"a remote that is silent", offer_mood::silent, exchange_end::timed_out, http::status::ok, 0, false,
+    {"a body that is taken", offer_reaction::takes, exchange_end::answered, http::status::ok, 1, true, false},
+    {"a body that is refused", offer_reaction::refuses, exchange_end::answered, http::status::conflict, 0,
+     true, true},
+    {"a remote that is silent", offer_reaction::silent, exchange_end::timed_out, http::status::ok, 0, false,
      true},
 };
 
@@ -46,14 +46,14 @@
 
 /// A listener that is offered bodies.
 struct remote {
-    explicit remote(offer_mood mood)
+    explicit remote(offer_reaction reaction)
     {
         auto opened = server::start(this->loop, "127.0.0.1:0", "test",
                                     [this](request& received) { return this->answer(received); });
         BOOST_REQUIRE(opened);
         this->listener = opened.value();
-        this->listener->screen = [this, mood](request&, std::uint64_t bytes) {
-            return this->judge(mood, bytes);
+        this->listener->screen = [this, reaction](request&, std::uint64_t bytes) {
+            return this->judge(reaction, bytes);
         };
     }
 
@@ -65,14 +65,14 @@
         co_return out;
     }
 
-    task<body_verdict> judge(offer_mood mood, std::uint64_t bytes)
+    task<body_verdict> judge(offer_reaction reaction, std::uint64_t bytes)
     {
         this->offered_bytes = bytes;
         body_verdict out;
-        if (mood == offer_mood::silent) {
+        if (reaction == offer_reaction::silent) {
             co_await sleep_for(silence);
         }
-        if (mood == offer_mood::refuses) {
+        if (reaction == offer_reaction::refuses) {
             out.refusal = make_response(http::status::conflict);
         } else {
             out.held_while_read = this->hold;
@@ -116,7 +116,7 @@
 
 BOOST_DATA_TEST_CASE(a_body_is_sent_once_it_is_agreed_on, boost::unit_test::data::make(offer_rows), row)
 {
-    remote to(row.mood);
+    remote to(row.reaction);
     client_pool pool(to.loop, {});
     exchange_result ended;
     spawn(to.loop, send_offer(to, pool, ended), "send-offer");
--- a/src/pomeloloft/sidecar/peers.cpp
+++ b/src/pomeloloft/sidecar/peers.cpp
@@ -1,14 +1,11 @@
 #include "pomeloloft/sidecar/peers.hpp"
 
 #include <algorithm>
-#include <charconv>
 #include <iterator>
 #include <optional>
 #include <utility>
 
-#include "pomeloloft/base/hash.hpp"
 #include "pomeloloft/base/log_line.hpp"
-#include "pomeloloft/base/parse_number.hpp"
 #include "pomeloloft/net/spawn.hpp"
 #include "pomeloloft/net/timer.hpp"
 #include "pomeloloft/sidecar/member_record.hpp"
@@ -19,14 +16,6 @@
 namespace {
 
 constexpr milliseconds sync_timeout{1000};
-constexpr milliseconds inquiry_timeout{150};
-/// Bodies of this size are offered before they are sent: a smaller one costs less than the question.
-constexpr std::size_t least_offered_bytes = 8U << 10U;
-/// Time beyond the longest wait in which a peer takes or refuses a body; where it is silent, others are
-/// asked.
-constexpr milliseconds offer_timeout{600};
-/// Time the peer's own time-out takes to arrive.
-constexpr milliseconds answer_margin{40};
 /// One exchange with a random peer in this time on average: a change that every push missed still arrives
 /// within a few of them.
 constexpr milliseconds sync_interval{1000};
@@ -34,60 +23,6 @@
 constexpr std::uint64_t far_sync_one_in = 4;
 constexpr milliseconds max_gone_age{60'000};
 
-template <typename Message, typename Number>
-Number header_number(const Message& message, const char* name, Number otherwise)
-{
-    return parse_number<Number>(net::header_text(message, name)).value_or(otherwise);
-}
-
-std::string encode_load(const load_report& load)
-{
-    return std::to_string(load.running) + ' ' + std::to_string(load.waiting) + ' ' +
-           std::to_string(load.slots) + ' ' + std::to_string(load.service_us) + ' ' +
-           std::to_string(load.link_ms) + ' ' + std::to_string(load.failed_percent);
-}
-
-std::optional<load_report> decode_load(std::string_view text)
-{
-    load_report out;
-    const char* at = text.data();
-    const char* end = at + text.size();
-    for (std::uint32_t* field :
-         {&out.running, &out.waiting, &out.slots, &out.service_us, &out.link_ms, &out.failed_percent}) {
-        while (at != end && *at == ' ') {
-            ++at;
-        }
-        const auto parsed = std::from_chars(at, end, *field);
-        if (parsed.ec != std::errc{}) {
-            return std::nullopt;
-        }
-        at = parsed.ptr;
-    }
-    return out;
-}
-
-/// Names the process that a node is known to run; names none for an unknown node.
-std::string process_name(const member_table& members, const std::string& node)
-{
-    const member* known = find_member(members, node);
-    return known == nullptr ? std::string{} : node + ' ' + std::to_string(known->incarnation);
-}
-
-/// Whether a process name is of another node.
-bool is_for_other_node(std::string_view process, const std::string& node)
-{
-    return process.substr(0, process.find(' ')) != node;
-}
-
-void erase_peer_headers(net::response& answer)
-{
-    answer.erase(peer_header::outcome);
-    answer.erase(peer_header::wait);
-    answer.erase(peer_header::broke_target);
-    answer.erase(peer_header::load);
-    answer.erase(peer_header::config);
-}
-
 } // namespace
 
 peer_links::peer_links(net::event_loop& where, board& all, target_gate& own_gate, config_feed& configs,
@@ -95,107 +30,6 @@
     : loop(where), shared(all), gate(own_gate), feed(configs), pool(peers), bodies(where, all.own.link_mbps)
 {}
 
-net::task<try_result> peer_links::forward(net::request& sent, const candidate& to, net::tcp::endpoint address,
-                                          target_call call)
-{
-    const std::string node = to.node;
-    endpoint_load& load = *to.load;
-    try_result out;
-    auto connected = co_await this->pool.acquire(address, call.deadline);
-    if (!connected) {
-        out.detail = "peer takes no connection";
-        co_return out;
-    }
-    sent_attempt attempt;
-    attempt.process = process_name(this->shared.members, node);
-    if (!call.idempotent) {
-        attempt.id = to_hex(random_draw()) + to_hex(random_draw());
-    }
-    const time_point now = steady_clock::now();
-    sent.set(peer_header::service, call.service);
-    sent.set(peer_header::priority, std::to_string(call.priority));
-    sent.set(peer_header::max_wait, std::to_string(call.max_wait.count()));
-    sent.set(peer_header::time_left, std::to_string(remaining(call.deadline, now).count()));
-    sent.set(peer_header::idempotent, call.idempotent ? "1" : "0");
-    sent.set(peer_header::attempt, attempt.id);
-    sent.set(peer_header::process, attempt.process);
-    sent.set(peer_header::config, std::to_string(config_version(this->shared)));
-    net::exchange_options options;
-    options.deadline = call.deadline + answer_margin;
-    options.id_header = this->shared.own.headers.request_id;
-    if (sent.body().size() > least_offered_bytes) {
-        sent.set(net::http::field::expect, "100-continue");
-        options.body_on_agreement = true;
-        options.agreement_deadline = now + call.max_wait + offer_timeout;
-    }
-    net::exchange_result ended = co_await net::exchange(*connected.value(), sent, options);
-    sent.erase(net::http::field::expect);
-    if (ended.end != net::exchange_end::answered) {
-        this->pool.discard(address);
-        if (ended.body_withheld) {
-            out.detail = "peer did not answer the offer of a body";
-            out.peer_silent = true;
-            co_return out;
-        }
-        const bool timed_out = ended.end == net::exchange_end::timed_out;
-        out.outcome = timed_out ? try_outcome::timed_out : try_outcome::lost;
-        if (!call.idempotent) {
-            out = co_await this->settle_loss(address, attempt, timed_out);
-        }
-        out.peer_silent = timed_out;
-        out.detail = connected.value()->reused ? "reused connection to the peer ended"
-                                               : "connection to the peer ended";
-        co_return out;
-    }
-    if (ended.reusable) {
-        this->pool.release(address, std::move(connected.value()));
-    }
-    net::response& answer = ended.answer;
-    if (const auto report = decode_load(net::header_text(answer, peer_header::load))) {
-        note_load(load, *report, steady_clock::now());
-    }
-    this->feed.note_version(node, net::header_text(answer, peer_header::config));
-    out.outcome = value_of(try_outcome_names, net::header_text(answer, peer_header::outcome))
-                      .value_or(try_outcome::lost);
-    out.broke_target = answer[peer_header::broke_target] == "1";
-    out.wait = milliseconds(header_number<net::response, int>(answer, peer_header::wait, 0));
-    erase_peer_headers(answer);
-    out.answer = std::move(answer);
-    co_return out;
-}
-
-net::task<try_result> peer_links::settle_loss(net::tcp::endpoint address, sent_attempt sent, bool timed_out)
-{
-    try_result out;
-    const attempt_state state = co_await this->inquire(address, std::move(sent));
-    out.outcome = timed_out ? try_outcome::timed_out : try_outcome::lost;
-    if (state == attempt_state::fenced) {
-        out.outcome = try_outcome::unavailable;
-    }
-    co_return out;
-}
-
-net::task<attempt_state> peer_links::inquire(net::tcp::endpoint address, sent_attempt attempt)
-{
-    // An idle connection may be silent for the same reason as the lost one: ask on a new one.
-    const time_point deadline = steady_clock::now() + inquiry_timeout;
-    auto connected = co_await this->pool.connect(address, deadline);
-    if (!connected) {
-        co_return attempt_state::started;
-    }
-    net::request sent{net::http::verb::post, peer_header::fence_path, 11};
-    sent.set(peer_header::attempt, attempt.id);
-    sent.set(peer_header::process, attempt.process);
-    sent.prepare_payload();
-    net::exchange_options options;
-    options.deadline = deadline;
-    const net::exchange_result ended = co_await net::exchange(*connected.value(), sent, options);
-    if (ended.end != net::exchange_end::answered || ended.answer.result() != net::http::status::ok) {
-        co_return attempt_state::started;
-    }
-    co_return value_of(attempt_state_names, ended.answer.body()).value_or(attempt_state::started);
-}
-
 net::task<net::reply> peer_links::answer(net::request& received)
 {
     if (received.find(peer_header::service) != received.end()) {
@@ -213,132 +47,6 @@
     co_return net::reply{net::make_response(net::http::status::not_found)};
 }
 
-struct peer_links::forwarded {
-    target_call call;
-    std::string attempt;
-    std::string request_id;
-    bool meant_for_me = false;
-};
-
-peer_links::forwarded peer_links::read_forwarded(const net::request& received) const
-{
-    forwarded out;
-    out.call.service = net::header_text(received, peer_header::service);
-    out.call.priority = header_number<net::request, std::uint32_t>(received, peer_header::priority, 0);
-    out.call.max_wait = milliseconds(header_number<net::request, int>(received, peer_header::max_wait, 0));
-    const int left = header_number<net::request, int>(received, peer_header::time_left, 0);
-    out.call.deadline = steady_clock::now() + milliseconds(left);
-    out.call.idempotent = received[peer_header::idempotent] == "1";
-    out.attempt = net::header_text(received, peer_header::attempt);
-    out.request_id = net::header_text(received, this->shared.own.headers.request_id);
-    out.meant_for_me =
-        !is_for_other_node(net::header_text(received, peer_header::process), this->shared.own.node);
-    return out;
-}
-
-net::response peer_links::make_answer(const std::string& request_id, try_result ended) const
-{
-    const time_point now = steady_clock::now();
-    net::response out = ended.outcome == try_outcome::answered ? std::move(ended.answer)
-                                                               : net::make_response(net::http::status::ok);
-    out.set(this->shared.own.headers.request_id, request_id);
-    out.set(peer_header::outcome, std::string(name_of(try_outcome_names, ended.outcome)));
-    if (ended.broke_target) {
-        out.set(peer_header::broke_target, "1");
-    }
-    out.set(peer_header::wait, std::to_string(ended.wait.count()));
-    load_report report = this->gate.report();
-    report.waiting += this->bodies.count();
-    const auto backlog_ms = static_cast<std::uint32_t>(this->bodies.expected_wait().count());
-    report.link_ms = std::max(this->shared.link.wait_ms(now), backlog_ms);
-    out.set(peer_header::load, encode_load(report));
-    out.set(peer_header::config, std::to_string(config_version(this->shared)));
-    return out;
-}
-
-std::optional<try_result> peer_links::refuse_body(const forwarded& asked, std::uint64_t body_bytes) const
-{
-    const time_point now = steady_clock::now();
-    if (!asked.meant_for_me || now >= this->shared.peers_refused_from) {
-        return try_result{};
-    }
-    if (auto refused = this->gate.refuse_early(asked.call, this->bodies.count())) {
-        return refused;
-    }
-    const milliseconds wait = this->bodies.expected_wait();
-    const milliseconds arrival = wait + this->bodies.transfer_time(body_bytes);
-    if (wait <= asked.call.max_wait && arrival < remaining(asked.call.deadline, now)) {
-        return std::nullopt;
-    }
-    try_result refused;
-    refused.outcome = try_outcome::refused;
-    refused.wait = wait;
-    return refused;
-}
-
-net::task<net::body_verdict> peer_links::screen_body(net::request& header, std::uint64_t body_bytes)
-{
-    net::body_verdict out;
-    const forwarded asked = this->read_forwarded(header);
-    std::optional<try_result> refused = this->refuse_body(asked, body_bytes);
-    if (!refused) {
-        // The sender gives up a little later, so that it still learns of the refusal.
-        const time_point give_up_at = steady_clock::now() + asked.call.max_wait;
-        out.held_while_read =
-            co_await this->bodies.admit(body_bytes, std::min(give_up_at, asked.call.deadline));
-    }
-    if (!out.held_while_read) {
-        if (!refused) {
-            refused.emplace();
-            refused->outcome = try_outcome::refused;
-            refused->wait = this->bodies.expected_wait();
-        }
-        out.refusal = this->make_answer(asked.request_id, std::move(*refused));
-    }
-    co_return out;
-}
-
-net::task<net::reply> peer_links::serve_forwarded(net::request& received)
-{
-    forwarded asked = this->read_forwarded(received);
-    const std::string& attempt = asked.attempt;
-    if (received.find(net::http::field::expect) != received.end()) {
-        // Its body was taken, and refusing it now would waste that.
-        asked.call.max_wait = remaining(asked.call.deadline, steady_clock::now()) / 2;
-    }
-    for (const char* name :
-         {peer_header::service, peer_header::priority, peer_header::max_wait, peer_header::time_left,
-          peer_header::idempotent, peer_header::attempt, peer_header::process, peer_header::config}) {
-        received.erase(name);
-    }
-    received.erase(net::http::field::expect);
-    try_result ended;
-    const bool is_first =
-        attempt.empty() || (this->attempts.arrive(attempt) && this->attempts.begin(attempt));
-    const bool leaves = steady_clock::now() >= this->shared.peers_refused_from;
-    const bool may_run = asked.meant_for_me && is_first && !leaves;
-    if (may_run) {
-        ended = co_await this->gate.serve(received, asked.call);
-    }
-    if (!attempt.empty()) {
-        this->attempts.finish(attempt, ended.outcome != try_outcome::refused &&
-                                           ended.outcome != try_outcome::unavailable);
-    }
-    this->shared.link.note(received.body().size() + ended.answer.body().size(), steady_clock::now());
-    net::reply out{this->make_answer(asked.request_id, std::move(ended))};
-    co_return out;
-}
-
-net::reply peer_links::serve_fence(const net::request& received)
-{
-    if (received[peer_header::process] != process_name(this->shared.members, this->shared.own.node)) {
-        return {net::make_response(net::http::status::misdirected_request)};
-    }
-    const attempt_state state =
-        this->attempts.fence(std::string(net::header_text(received, peer_header::attempt)), true);
-    return {net::make_response(net::http::status::ok, std::string(name_of(attempt_state_names, state)))};
-}
-
 sync_message peer_links::own_news() const
 {
     sync_message out;
