Tell rejections from failures in the choice of an endpoint

Change: the load report tells rejections apart; they count by the fourth power of the share, failures by the third. What is turned away has not run and can go elsewhere at once.

Ruled out: a lower limit of slots at such a gate (rejections come at 1 to 9 running).

Both by the fourth power sends to a target that fails half rather than to a full one without a queue, which an earlier unit row forbids; the third power keeps it.

The three new rows of the choice and the new row of the gate need the new field or failed before.

--- a/include/pomeloloft/sidecar/choose.hpp
+++ b/include/pomeloloft/sidecar/choose.hpp
@@ -24,6 +24,8 @@
     std::uint32_t link_ms = 0;
     /// Share of the requests that its target failed of late, in percent.
     std::uint32_t failed_percent = 0;
+    /// Share of the requests that its target turned away without running them, in percent.
+    std::uint32_t rejected_percent = 0;
     time_point told_at;
     /// Failures to reach it or its target in a row.
     std::uint32_t failures = 0;
@@ -47,9 +49,12 @@
     /// Time a told share of failures counts. Longer than a load's: each sender that forgets it loses a
     /// request.
     milliseconds failure_memory{5000};
-    /// Added for a target that fails every request; grows with the square of the share, so that the few
-    /// failures of a sound target hardly count.
+    /// Added for a target that fails every request; grows with the third power of the share, so that the few
+    /// failures of a sound target hardly count and a long queue elsewhere counts for more than some failures.
     double failing_ms = 2000.0;
+    /// Added for a target that turns every request away; grows with the fourth power of the share, as what
+    /// is turned away can be sent elsewhere at once.
+    double rejecting_ms = 2000.0;
     /// Added to the expected time of an endpoint on another VM, in milliseconds.
     double peer_ms = 1.0;
     /// Added for each KB that a request carries to another VM: its time on the VM's link.
@@ -110,6 +115,7 @@
     std::uint32_t service_us = 0;
     std::uint32_t link_ms = 0;
     std::uint32_t failed_percent = 0;
+    std::uint32_t rejected_percent = 0;
 };
 
 /// Takes in what an endpoint told.
--- a/include/pomeloloft/sidecar/gate.hpp
+++ b/include/pomeloloft/sidecar/gate.hpp
@@ -119,7 +119,7 @@
     void set_reachable(bool now_reachable);
     void give_back();
     net::task<try_result> send(net::request& sent, const target_call& call);
-    void note_failure_share(const try_result& ended);
+    void note_shares(const try_result& ended);
     try_result judge(const net::request& sent, net::exchange_result ended, bool reused);
 
     net::event_loop& loop;
@@ -129,8 +129,10 @@
     std::uint32_t running = 0;
     std::list<waiter*> waiting;
     smoothed_time service_time;
-    /// Smoothed share of the requests that the target failed or turned away.
-    double failure_share = 0;
+    /// Smoothed share of the requests that the target failed.
+    double failed_share = 0;
+    /// Smoothed share of the requests that the target turned away.
+    double rejected_share = 0;
     bool target_reachable = true;
     time_point retry_target_at;
     /// When the target last answered a request.
--- a/src/pomeloloft/sidecar/choose.cpp
+++ b/src/pomeloloft/sidecar/choose.cpp
@@ -1,6 +1,7 @@
 #include "pomeloloft/sidecar/choose.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 #include "pomeloloft/base/hash.hpp"
 
@@ -35,11 +36,19 @@
     return load.service_us > 0 ? load.service_us / us_per_ms : options.default_service_ms;
 }
 
+double share_of(std::uint32_t percent)
+{
+    constexpr double whole = 100.0;
+    return percent / whole;
+}
+
 double failing_ms_of(const endpoint_load& load, time_point now, const choice_options& options)
 {
-    constexpr double percent = 100.0;
-    const double share = load.failed_percent / percent;
-    return options.failing_ms * share * share * freshness_of(load, now, options.failure_memory);
+    constexpr int failed_power = 3;
+    constexpr int rejected_power = 4;
+    const double failed = options.failing_ms * std::pow(share_of(load.failed_percent), failed_power);
+    const double rejected = options.rejecting_ms * std::pow(share_of(load.rejected_percent), rejected_power);
+    return (failed + rejected) * freshness_of(load, now, options.failure_memory);
 }
 
 const candidate* best_of(const choice& request, const choice_options& options, bool avoided)
@@ -137,6 +146,7 @@
     load.service_us = told.service_us;
     load.link_ms = told.link_ms;
     load.failed_percent = told.failed_percent;
+    load.rejected_percent = told.rejected_percent;
     load.told_at = now;
 }
 
--- a/src/pomeloloft/sidecar/gate.cpp
+++ b/src/pomeloloft/sidecar/gate.cpp
@@ -19,8 +19,9 @@
 constexpr milliseconds max_idle_unrepeatable{1000};
 constexpr milliseconds max_idle_repeatable{5000};
 constexpr milliseconds probe_timeout{700};
-/// Weight of one answer in the share of failures: a target that turns bad is known by it after a few.
-constexpr double failure_sample_weight = 0.1;
+/// Weight of one answer in the shares of failures and rejections: a target that turns bad is known by them
+/// after a few.
+constexpr double share_sample_weight = 0.1;
 /// Service time assumed before the first answer.
 constexpr std::chrono::microseconds assumed_service_time{50'000};
 
@@ -49,6 +50,11 @@
             std::string(name_of(net::exchange_end_names, end))};
 }
 
+void add_sample(double& share, bool counts)
+{
+    share += ((counts ? 1.0 : 0.0) - share) * share_sample_weight;
+}
+
 bool is_encoded(const net::response& answer)
 {
     return answer.find(net::http::field::content_encoding) != answer.end();
@@ -105,7 +111,8 @@
             open ? this->target.slots : 0,
             this->service_time.micros(),
             0,
-            static_cast<std::uint32_t>(this->failure_share * percent)};
+            static_cast<std::uint32_t>(this->failed_share * percent),
+            static_cast<std::uint32_t>(this->rejected_share * percent)};
 }
 
 void target_gate::grant_next()
@@ -128,21 +135,24 @@
     this->grant_next();
 }
 
-void target_gate::note_failure_share(const try_result& ended)
+void target_gate::note_shares(const try_result& ended)
 {
     if (ended.outcome == try_outcome::timed_out) {
         return;
     }
     // A gateway time-out is the caller's deadline, not the target's fault.
-    const bool failed = ended.outcome != try_outcome::answered ||
-                        (to_status_class(ended.answer.result()) == net::http::status_class::server_error &&
-                         ended.answer.result() != net::http::status::gateway_timeout);
-    this->failure_share += ((failed ? 1.0 : 0.0) - this->failure_share) * failure_sample_weight;
+    const bool answered_failure =
+        ended.outcome == try_outcome::answered &&
+        to_status_class(ended.answer.result()) == net::http::status_class::server_error &&
+        ended.answer.result() != net::http::status::gateway_timeout;
+    add_sample(this->failed_share, answered_failure || ended.outcome == try_outcome::lost);
+    add_sample(this->rejected_share, ended.outcome == try_outcome::rejected);
 }
 
 void target_gate::target_changed()
 {
-    this->failure_share = 0;
+    this->failed_share = 0;
+    this->rejected_share = 0;
     this->retry_target_at = {};
     this->set_reachable(true);
     this->grant_next();
@@ -281,7 +291,7 @@
         this->pool.release(this->address, std::move(on));
     }
     out = this->judge(sent, std::move(ended), reused);
-    this->note_failure_share(out);
+    this->note_shares(out);
     if (out.outcome == try_outcome::answered) {
         this->answered_at = steady_clock::now();
         this->service_time.add(held);
--- a/src/pomeloloft/sidecar/gate_test.cpp
+++ b/src/pomeloloft/sidecar/gate_test.cpp
@@ -81,6 +81,8 @@
     net::http::status status;
     std::uint32_t least_percent;
     std::uint32_t most_percent;
+    std::uint32_t least_rejected;
+    std::uint32_t most_rejected;
 };
 
 std::ostream& operator<<(std::ostream& out, const failing_row& row)
@@ -89,10 +91,11 @@
 }
 
 const failing_row failing_rows[] = {
-    {"a sound target", net::http::status::ok, 0, 0},
-    {"callers' errors", net::http::status::not_found, 0, 0},
-    {"callers' time-outs", net::http::status::gateway_timeout, 0, 0},
-    {"a target that fails", net::http::status::internal_server_error, 25, 100},
+    {"a sound target", net::http::status::ok, 0, 0, 0, 0},
+    {"callers' errors", net::http::status::not_found, 0, 0, 0, 0},
+    {"callers' time-outs", net::http::status::gateway_timeout, 0, 0, 0, 0},
+    {"a target that fails", net::http::status::internal_server_error, 25, 100, 0, 0},
+    {"a target that turns requests away", net::http::status::misdirected_request, 0, 0, 25, 100},
 };
 
 } // namespace
@@ -132,7 +135,8 @@
     BOOST_TEST(!t.gate->reachable());
 }
 
-BOOST_DATA_TEST_CASE(the_share_of_failures_is_told, boost::unit_test::data::make(failing_rows), row)
+BOOST_DATA_TEST_CASE(the_shares_of_failures_and_rejections_are_told,
+                     boost::unit_test::data::make(failing_rows), row)
 {
     gated_target t;
     t.status = row.status;
@@ -141,9 +145,11 @@
         t.begin("x", one);
     }
     t.loop.run_for(2 * work_time);
-    const std::uint32_t told = t.gate->report().failed_percent;
-    BOOST_TEST(told >= row.least_percent);
-    BOOST_TEST(told <= row.most_percent);
+    const load_report told = t.gate->report();
+    BOOST_TEST(told.failed_percent >= row.least_percent);
+    BOOST_TEST(told.failed_percent <= row.most_percent);
+    BOOST_TEST(told.rejected_percent >= row.least_rejected);
+    BOOST_TEST(told.rejected_percent <= row.most_rejected);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/pomeloloft/sidecar/peer_forwarding.cpp
+++ b/src/pomeloloft/sidecar/peer_forwarding.cpp
@@ -31,7 +31,8 @@
 {
     return std::to_string(load.running) + ' ' + std::to_string(load.waiting) + ' ' +
            std::to_string(load.slots) + ' ' + std::to_string(load.service_us) + ' ' +
-           std::to_string(load.link_ms) + ' ' + std::to_string(load.failed_percent);
+           std::to_string(load.link_ms) + ' ' + std::to_string(load.failed_percent) + ' ' +
+           std::to_string(load.rejected_percent);
 }
 
 std::optional<load_report> decode_load(std::string_view text)
@@ -39,11 +40,15 @@
     load_report out;
     const char* at = text.data();
     const char* end = at + text.size();
-    for (std::uint32_t* field :
-         {&out.running, &out.waiting, &out.slots, &out.service_us, &out.link_ms, &out.failed_percent}) {
+    for (std::uint32_t* field : {&out.running, &out.waiting, &out.slots, &out.service_us, &out.link_ms,
+                                 &out.failed_percent, &out.rejected_percent}) {
         while (at != end && *at == ' ') {
             ++at;
         }
+        if (at == end && field == &out.rejected_percent) {
+            // A sidecar of an earlier version does not tell it.
+            break;
+        }
         const auto parsed = std::from_chars(at, end, *field);
         if (parsed.ec != std::errc{}) {
             return std::nullopt;
--- a/src/pomeloloft/sidecar/policy_test.cpp
+++ b/src/pomeloloft/sidecar/policy_test.cpp
@@ -182,7 +182,21 @@
     return out;
 }
 
+/// A target that turns requests away fast.
+endpoint_load rejecting_load(std::uint32_t rejected_percent)
+{
+    endpoint_load out = load_of(0, 2'000);
+    out.rejected_percent = rejected_percent;
+    return out;
+}
+
 const choice_row choice_rows[] = {
+    {"one that turns half of them away before a long queue", false, true, true, rejecting_load(50),
+     load_of(30, 60'000), 0, "first"},
+    {"not one that turns nearly all of them away", false, true, true, rejecting_load(95), load_of(30, 60'000),
+     0, "second"},
+    {"one that fails half of them before a queue longer than most aims", false, true, true, failing_load(50),
+     load_of(40, 90'000), 0, "first"},
     {"not one that fails all requests fast", false, true, true, failing_load(95), load_of(30, 90'000), 0,
      "second"},
     {"not one that fails half of them", false, true, true, failing_load(50), load_of(9, 90'000), 0, "second"},
