Let the choice of an endpoint tell the expected wait there

The mean service time of a service's endpoints was computed twice for each choice, by the choice and by its caller, which also copied the options the same way. No behaviour changes.

--- a/include/pomeloloft/sidecar/choose.hpp
+++ b/include/pomeloloft/sidecar/choose.hpp
@@ -87,19 +87,21 @@
 /// Requests believed to run or wait at an endpoint.
 [[nodiscard]] double believed_load(const endpoint_load& load, time_point now, const choice_options& options);
 
-/// What the endpoints that told their service time need on average; the others are taken to need as much.
-[[nodiscard]] double usual_service_ms(std::span<const candidate> from, const choice_options& options);
-
-/// Expected wait for a slot, in milliseconds.
-[[nodiscard]] double expected_wait_ms(const candidate& c, time_point now, const choice_options& options);
-
 /// Expected time until the endpoint would answer, in milliseconds.
 [[nodiscard]] double expected_ms(const candidate& c, const choice& request, const choice_options& options);
 
-/// The untried endpoint that is expected to answer first; those passed over only when no other is left. Null
-/// when all were tried. Answers uneven and changing loads, with targets of unlike speed, and targets that
-/// fail fast and so seem to be free.
-[[nodiscard]] const candidate* choose(const choice& request, const choice_options& options);
+/// What was chosen.
+struct chosen_endpoint {
+    /// Null when all endpoints were tried.
+    const candidate* endpoint = nullptr;
+    /// Expected wait for a slot there.
+    milliseconds wait{0};
+};
+
+/// The untried endpoint that is expected to answer first; those passed over only when no other is left. One
+/// that told no service time is taken to need what the others need on average. Answers uneven and changing
+/// loads, with targets of unlike speed, and targets that fail fast and so seem to be free.
+[[nodiscard]] chosen_endpoint choose(const choice& request, const choice_options& options);
 
 /// Notes that an endpoint or its target could not be reached.
 void note_failure(endpoint_load& load, time_point now, const choice_options& options);
--- a/src/pomeloloft/sidecar/choose.cpp
+++ b/src/pomeloloft/sidecar/choose.cpp
@@ -51,6 +51,26 @@
     return (failed + rejected) * freshness_of(load, now, options.failure_memory);
 }
 
+double usual_service_ms(std::span<const candidate> from, const choice_options& options)
+{
+    // None tells it before its first answer; one taken to be fast until then would be sent too much.
+    double total_us = 0;
+    std::size_t known = 0;
+    for (const candidate& c : from) {
+        total_us += c.load->service_us;
+        known += c.load->service_us > 0 ? 1 : 0;
+    }
+    return known > 0 ? total_us / us_per_ms / static_cast<double>(known) : options.default_service_ms;
+}
+
+/// Expected wait for a slot, in milliseconds.
+double expected_wait_ms(const candidate& c, time_point now, const choice_options& options)
+{
+    const double slots = std::max(c.load->slots, 1U);
+    const double excess = std::max(0.0, believed_load(*c.load, now, options) + 1 - slots);
+    return excess * service_ms_of(*c.load, options) / slots;
+}
+
 const candidate* best_of(const choice& request, const choice_options& options, bool avoided)
 {
     const candidate* best = nullptr;
@@ -71,31 +91,12 @@
 
 } // namespace
 
-double usual_service_ms(std::span<const candidate> from, const choice_options& options)
-{
-    // None tells it before its first answer; one taken to be fast until then would be sent too much.
-    double total_us = 0;
-    std::size_t known = 0;
-    for (const candidate& c : from) {
-        total_us += c.load->service_us;
-        known += c.load->service_us > 0 ? 1 : 0;
-    }
-    return known > 0 ? total_us / us_per_ms / static_cast<double>(known) : options.default_service_ms;
-}
-
 double believed_load(const endpoint_load& load, time_point now, const choice_options& options)
 {
     const double told = (load.told + load.sent_since) * freshness_of(load, now, options.load_memory);
     return std::max<double>(load.in_flight, told);
 }
 
-double expected_wait_ms(const candidate& c, time_point now, const choice_options& options)
-{
-    const double slots = std::max(c.load->slots, 1U);
-    const double excess = std::max(0.0, believed_load(*c.load, now, options) + 1 - slots);
-    return excess * service_ms_of(*c.load, options) / slots;
-}
-
 double expected_ms(const candidate& c, const choice& request, const choice_options& options)
 {
     const endpoint_load& load = *c.load;
@@ -116,12 +117,18 @@
     return wait + service * (1.0 + options.busy_share * busy) + distance + failing;
 }
 
-const candidate* choose(const choice& request, const choice_options& options)
+chosen_endpoint choose(const choice& request, const choice_options& options)
 {
     choice_options usual = options;
     usual.default_service_ms = usual_service_ms(request.from, options);
     const candidate* best = best_of(request, usual, false);
-    return best != nullptr ? best : best_of(request, usual, true);
+    if (best == nullptr) {
+        best = best_of(request, usual, true);
+    }
+    if (best == nullptr) {
+        return {};
+    }
+    return {best, milliseconds(static_cast<std::int64_t>(expected_wait_ms(*best, request.now, usual)))};
 }
 
 void note_failure(endpoint_load& load, time_point now, const choice_options& options)
--- a/src/pomeloloft/sidecar/entry.cpp
+++ b/src/pomeloloft/sidecar/entry.cpp
@@ -261,25 +261,23 @@
         return std::nullopt;
     }
     const std::vector<candidate>& all = found->second.candidates;
-    const candidate* chosen = choose({all, j.tried, body_bytes, random_draw(), now}, this->options);
-    if (chosen == nullptr && (j.state.last_round || j.state.redirects == 0 || j.state.arrivals > 0)) {
+    chosen_endpoint chosen = choose({all, j.tried, body_bytes, random_draw(), now}, this->options);
+    if (chosen.endpoint == nullptr &&
+        (j.state.last_round || j.state.redirects == 0 || j.state.arrivals > 0)) {
         return std::nullopt;
     }
-    if (chosen == nullptr || has_searched(j.state, j.started, j.aim, now)) {
+    if (chosen.endpoint == nullptr || has_searched(j.state, j.started, j.aim, now)) {
         // Every endpoint asked is busy: take the one with the shortest queue and wait there.
         j.state.last_round = true;
         j.tried.clear();
         chosen = choose({all, {}, body_bytes, random_draw(), now}, this->options);
     }
-    if (chosen == nullptr) {
+    if (chosen.endpoint == nullptr) {
         return std::nullopt;
     }
-    choice_options usual = this->options;
-    usual.default_service_ms = usual_service_ms(all, this->options);
-    const milliseconds wait(static_cast<std::int64_t>(expected_wait_ms(*chosen, now, usual)));
-    j.state.last_round = j.state.last_round || is_busy_everywhere(wait, j.started, j.aim);
-    j.tried.push_back(chosen->node);
-    return static_cast<std::size_t>(chosen - all.data());
+    j.state.last_round = j.state.last_round || is_busy_everywhere(chosen.wait, j.started, j.aim);
+    j.tried.push_back(chosen.endpoint->node);
+    return static_cast<std::size_t>(chosen.endpoint - all.data());
 }
 
 next_step entry_router::note_end(const net::request& sent, journey& j, try_result ended)
--- a/src/pomeloloft/sidecar/policy_test.cpp
+++ b/src/pomeloloft/sidecar/policy_test.cpp
@@ -339,7 +339,7 @@
     constexpr std::uint64_t draws = 50;
     for (std::uint64_t draw = 0; draw < draws; ++draw) {
         const choice request{both, {}, sample.body_bytes, draw, first.told_at};
-        BOOST_TEST(choose(request, {})->node == sample.chosen);
+        BOOST_TEST(choose(request, {}).endpoint->node == sample.chosen);
     }
 }
 
@@ -348,7 +348,7 @@
     endpoint_load load;
     const std::array<candidate, 1> one{candidate{"first", false, true, &load}};
     const std::array<std::string, 1> tried{"first"};
-    BOOST_TEST(choose({one, tried, 0, 1, steady_clock::now()}, {}) == nullptr);
+    BOOST_TEST(choose({one, tried, 0, 1, steady_clock::now()}, {}).endpoint == nullptr);
 }
 
 BOOST_AUTO_TEST_CASE(pauses_after_failures_grow_and_are_bounded)
