--- a/include/pomeloloft/sidecar/peer_headers.hpp
+++ b/include/pomeloloft/sidecar/peer_headers.hpp
@@ -27,7 +27,7 @@
 inline constexpr const char* broke_target = "x-pomeloloft-broke-target";
 /// Expected wait for a slot, in milliseconds.
 inline constexpr const char* wait = "x-pomeloloft-wait";
-/// `RUNNING WAITING SLOTS SERVICE_US LINK_MS FAILED_PERCENT`.
+/// `RUNNING WAITING SLOTS SERVICE_US LINK_MS FAILED_PERCENT REJECTED_PERCENT`.
 inline constexpr const char* load = "x-pomeloloft-load";
 /// The sidecar that sends.
 inline constexpr const char* node = "x-pomeloloft-node";
--- a/include/pomeloloft/traffic/retry.hpp
+++ b/include/pomeloloft/traffic/retry.hpp
@@ -25,7 +25,8 @@
 };
 
 /// Counts an attempt.
-void note_attempt(attempt_history& history, run_state ended, bool unreachable);
+/// @return whether anything was sent to its endpoint.
+bool note_attempt(attempt_history& history, run_state ended, bool unreachable);
 
 /// Whether endpoints may be tried further, as far as unreachable ones are concerned.
 [[nodiscard]] bool has_attempts_left(const attempt_history& history);
--- a/src/pomeloloft/proxy/route_request.cpp
+++ b/src/pomeloloft/proxy/route_request.cpp
@@ -263,7 +263,7 @@
         if (last.reason != refusal_reason::connection_lost) {
             tried.push_back(chosen->node);
         }
-        note_attempt(history, last.state, unreachable);
+        const bool reached = note_attempt(history, last.state, unreachable);
         const retry_inputs inputs{last.state,
                                   last.reason == refusal_reason::target_crashed,
                                   context.route->rule.idempotent,
@@ -275,7 +275,6 @@
             return last;
         }
         // What reached no endpoint added nothing to anybody's load.
-        const bool reached = last.state != run_state::not_run || !unreachable;
         if (reached && !board.retries.withdraw()) {
             ++board.requests.retries_over_budget;
             return last;
--- a/src/pomeloloft/sidecar/config_feed.cpp
+++ b/src/pomeloloft/sidecar/config_feed.cpp
@@ -39,10 +39,6 @@
 /// Versions kept for deltas: more than come while a node fetches one.
 constexpr std::size_t max_history = 8;
 
-} // namespace
-
-namespace {
-
 /// A link this many times narrower than the best one is not used to read the store while others are there: a
 /// whole document would fill it for seconds.
 constexpr std::uint32_t narrow_link_factor = 4;
--- a/src/pomeloloft/traffic/retry.cpp
+++ b/src/pomeloloft/traffic/retry.cpp
@@ -4,11 +4,12 @@
 
 namespace pomeloloft {
 
-void note_attempt(attempt_history& history, run_state ended, bool unreachable)
+bool note_attempt(attempt_history& history, run_state ended, bool unreachable)
 {
     const bool nothing_sent = unreachable && ended == run_state::not_run;
     ++(nothing_sent ? history.unreachable : history.made);
     history.maybe_ran = history.maybe_ran || ended != run_state::not_run;
+    return !nothing_sent;
 }
 
 bool has_attempts_left(const attempt_history& history)
