Print the rows of parameterised tests in one place

Twenty-two test tables each defined the same operator that prints a row's name. Rows derive from named_row now. In two tables of sidecar_test the name moves to the front.

--- a/src/pomeloloft/config/fold_test.cpp
+++ b/src/pomeloloft/config/fold_test.cpp
@@ -5,23 +5,18 @@
 #include <boost/test/unit_test.hpp>
 
 #include "pomeloloft/config/patch.hpp"
+#include "test/named_row.hpp"
 
 namespace {
 
 using namespace pomeloloft;
 
-struct record_row {
-    const char* name;
+struct record_row : testing::named_row {
     const char* record;
     verdict outcome;
     std::uint64_t version;
 };
 
-std::ostream& operator<<(std::ostream& out, const record_row& row)
-{
-    return out << row.name;
-}
-
 /// Folded in order, each on top of those before.
 const record_row records[] = {
     {"first",
--- a/src/pomeloloft/mesh/member_table_test.cpp
+++ b/src/pomeloloft/mesh/member_table_test.cpp
@@ -9,6 +9,7 @@
 
 #include "pomeloloft/mesh/tree.hpp"
 #include "pomeloloft/mesh/view.hpp"
+#include "test/named_row.hpp"
 
 namespace {
 
@@ -26,18 +27,12 @@
     return m;
 }
 
-struct merge_row {
-    const char* name;
+struct merge_row : testing::named_row {
     member held;
     member incoming;
     bool taken;
 };
 
-std::ostream& operator<<(std::ostream& out, const merge_row& row)
-{
-    return out << row.name;
-}
-
 const merge_row merges[] = {
     {"later sequence", make("a", 1, 1, member_state::serving), make("a", 1, 2, member_state::idle), true},
     {"earlier sequence", make("a", 1, 2, member_state::idle), make("a", 1, 1, member_state::serving), false},
--- a/src/pomeloloft/net/exchange_test.cpp
+++ b/src/pomeloloft/net/exchange_test.cpp
@@ -10,6 +10,7 @@
 #include "pomeloloft/net/server.hpp"
 #include "pomeloloft/net/spawn.hpp"
 #include "pomeloloft/net/timer.hpp"
+#include "test/named_row.hpp"
 
 namespace pomeloloft::net {
 namespace {
@@ -17,8 +18,7 @@
 /// What a remote does with the offer of a body.
 enum class offer_reaction : std::uint8_t { takes, refuses, silent };
 
-struct offer_row {
-    const char* name;
+struct offer_row : testing::named_row {
     offer_reaction reaction;
     exchange_end end;
     http::status status;
@@ -28,11 +28,6 @@
     bool withheld;
 };
 
-std::ostream& operator<<(std::ostream& out, const offer_row& row)
-{
-    return out << row.name;
-}
-
 const offer_row offer_rows[] = {
     {"a body that is taken", offer_reaction::takes, exchange_end::answered, http::status::ok, 1, true, false},
     {"a body that is refused", offer_reaction::refuses, exchange_end::answered, http::status::conflict, 0,
--- a/src/pomeloloft/proxy/issuer_directory_test.cpp
+++ b/src/pomeloloft/proxy/issuer_directory_test.cpp
@@ -5,21 +5,16 @@
 #include <boost/test/unit_test.hpp>
 
 #include "pomeloloft/proxy/issuer_directory.hpp"
+#include "test/named_row.hpp"
 
 namespace pomeloloft {
 namespace {
 
-struct lookup_row {
-    const char* name;
+struct lookup_row : testing::named_row {
     node_directory held;
     issuer_state expected;
 };
 
-std::ostream& operator<<(std::ostream& out, const lookup_row& row)
-{
-    return out << row.name;
-}
-
 const idempotency_key key_of_7{"issuer", 7, 1, 0, 0};
 
 const lookup_row lookup_rows[] = {
--- a/src/pomeloloft/routing/route_table_test.cpp
+++ b/src/pomeloloft/routing/route_table_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "pomeloloft/routing/route_table.hpp"
+#include "test/named_row.hpp"
 
 namespace pomeloloft::routing {
 namespace {
@@ -52,17 +53,11 @@
     {"shop.example", "*", ""},
 };
 
-struct fault_row {
-    const char* name;
+struct fault_row : testing::named_row {
     void (*spoil)(route_table& source);
     const char* named;
 };
 
-std::ostream& operator<<(std::ostream& out, const fault_row& row)
-{
-    return out << row.name;
-}
-
 const fault_row fault_rows[] = {
     {"a prefix without an end slash", [](route_table& t) { t.routes[1].prefix = "/records"; }, "records"},
     {"a bare prefix", [](route_table& t) { t.routes[1].prefix = ""; }, "records"},
--- a/src/pomeloloft/routing/table_codec_test.cpp
+++ b/src/pomeloloft/routing/table_codec_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "pomeloloft/routing/table_codec.hpp"
+#include "test/named_row.hpp"
 
 namespace pomeloloft::routing {
 namespace {
@@ -23,16 +24,10 @@
     return out;
 }
 
-struct change_row {
-    const char* name;
+struct change_row : testing::named_row {
     void (*change)(route_table& next);
 };
 
-std::ostream& operator<<(std::ostream& out, const change_row& row)
-{
-    return out << row.name;
-}
-
 const change_row change_rows[] = {
     {"nothing but the version", [](route_table&) {}},
     {"a changed time-out", [](route_table& t) { t.routes[2].timeout = milliseconds(77); }},
--- a/src/pomeloloft/sidecar/config_feed_test.cpp
+++ b/src/pomeloloft/sidecar/config_feed_test.cpp
@@ -15,6 +15,7 @@
 #include "pomeloloft/sidecar/board.hpp"
 #include "pomeloloft/sidecar/config_feed.hpp"
 #include "pomeloloft/sidecar/peer_headers.hpp"
+#include "test/named_row.hpp"
 
 namespace pomeloloft::sidecar {
 namespace {
@@ -26,18 +27,12 @@
     bool reaches_store;
 };
 
-struct readers_row {
-    const char* name;
+struct readers_row : testing::named_row {
     std::vector<member_row> members;
     /// Expected for data centre `a`, in any order.
     std::vector<std::string> readers;
 };
 
-std::ostream& operator<<(std::ostream& out, const readers_row& row)
-{
-    return out << row.name;
-}
-
 const readers_row readers_rows[] = {
     {"those of the data centre",
      {{"a1", "a", 1000, true}, {"a2", "a", 1000, true}, {"b1", "b", 1000, true}},
--- a/src/pomeloloft/sidecar/gate_test.cpp
+++ b/src/pomeloloft/sidecar/gate_test.cpp
@@ -11,6 +11,7 @@
 #include "pomeloloft/net/spawn.hpp"
 #include "pomeloloft/net/timer.hpp"
 #include "pomeloloft/sidecar/gate.hpp"
+#include "test/named_row.hpp"
 
 namespace pomeloloft::sidecar {
 namespace {
@@ -84,8 +85,7 @@
     net::http::status status = net::http::status::ok;
 };
 
-struct failing_row {
-    const char* name;
+struct failing_row : testing::named_row {
     net::http::status status;
     std::uint32_t least_percent;
     std::uint32_t most_percent;
@@ -93,11 +93,6 @@
     std::uint32_t most_rejected;
 };
 
-std::ostream& operator<<(std::ostream& out, const failing_row& row)
-{
-    return out << row.name;
-}
-
 const failing_row failing_rows[] = {
     {"a sound target", net::http::status::ok, 0, 0, 0, 0},
     {"callers' errors", net::http::status::not_found, 0, 0, 0, 0},
--- a/src/pomeloloft/sidecar/inbound_bodies_test.cpp
+++ b/src/pomeloloft/sidecar/inbound_bodies_test.cpp
@@ -9,24 +9,19 @@
 #include "pomeloloft/net/spawn.hpp"
 #include "pomeloloft/net/timer.hpp"
 #include "pomeloloft/sidecar/inbound_bodies.hpp"
+#include "test/named_row.hpp"
 
 namespace pomeloloft::sidecar {
 namespace {
 
 /// Bodies of one size offered at once to a VM; how many may be sent at once.
-struct offer_row {
-    const char* name;
+struct offer_row : testing::named_row {
     std::uint32_t mbps;
     std::size_t bytes;
     std::size_t offered;
     std::size_t under_way;
 };
 
-std::ostream& operator<<(std::ostream& out, const offer_row& row)
-{
-    return out << row.name;
-}
-
 const offer_row offer_rows[] = {
     {"a narrow link takes two scans", 5, 60'000, 10, 2},
     {"a narrow link takes two of any size", 5, 360'000, 3, 2},
--- a/src/pomeloloft/sidecar/policy_test.cpp
+++ b/src/pomeloloft/sidecar/policy_test.cpp
@@ -10,25 +10,20 @@
 #include "pomeloloft/sidecar/retry_policy.hpp"
 #include "pomeloloft/sidecar/suspects.hpp"
 #include "pomeloloft/traffic/retry.hpp"
+#include "test/named_row.hpp"
 
 namespace pomeloloft::sidecar {
 namespace {
 
 using std::chrono::microseconds;
 
-struct gate_row {
-    const char* name;
+struct gate_row : testing::named_row {
     gate_view view;
     milliseconds max_wait;
     milliseconds left;
     gate_verdict verdict;
 };
 
-std::ostream& operator<<(std::ostream& out, const gate_row& row)
-{
-    return out << row.name;
-}
-
 constexpr microseconds ms_60{60'000};
 
 const gate_row gate_rows[] = {
@@ -48,8 +43,7 @@
     {"no time left", {9, 0, 0, ms_60}, milliseconds{100}, milliseconds{0}, gate_verdict::refuse_deadline},
 };
 
-struct order_row {
-    const char* name;
+struct order_row : testing::named_row {
     std::uint32_t first_priority;
     milliseconds first_left;
     std::uint32_t second_priority;
@@ -57,11 +51,6 @@
     bool first_before;
 };
 
-std::ostream& operator<<(std::ostream& out, const order_row& row)
-{
-    return out << row.name;
-}
-
 const order_row order_rows[] = {
     {"the more urgent class", 0, milliseconds{900}, 1, milliseconds{100}, true},
     {"a call of a running request before an upload", 1, milliseconds{500}, 1, milliseconds{6000}, true},
@@ -69,19 +58,13 @@
     {"an equal one does not pass", 1, milliseconds{500}, 1, milliseconds{500}, false},
 };
 
-struct budget_row {
-    const char* name;
+struct budget_row : testing::named_row {
     try_outcome last;
     std::int64_t reserve;
     int requests;
     int retries;
 };
 
-std::ostream& operator<<(std::ostream& out, const budget_row& row)
-{
-    return out << row.name;
-}
-
 const budget_row budget_rows[] = {
     {"requests that were turned away", try_outcome::rejected, 5, 300, 35},
     {"runs that failed", try_outcome::answered, 5, 300, 12},
@@ -89,18 +72,12 @@
     {"runs that failed, where the reserve is less than one costs", try_outcome::answered, 2, 0, 1},
 };
 
-struct busy_row {
-    const char* name;
+struct busy_row : testing::named_row {
     milliseconds best_wait;
     milliseconds aim;
     bool busy;
 };
 
-std::ostream& operator<<(std::ostream& out, const busy_row& row)
-{
-    return out << row.name;
-}
-
 const busy_row busy_rows[] = {
     {"a free slot", milliseconds{0}, milliseconds{600}, false},
     {"a short queue", milliseconds{80}, milliseconds{600}, false},
@@ -110,18 +87,12 @@
     {"the same queue for a caller with more time", milliseconds{300}, milliseconds{1200}, false},
 };
 
-struct search_row {
-    const char* name;
+struct search_row : testing::named_row {
     std::uint32_t redirects;
     milliseconds taken;
     bool searched;
 };
 
-std::ostream& operator<<(std::ostream& out, const search_row& row)
-{
-    return out << row.name;
-}
-
 constexpr milliseconds search_aim{200};
 
 const search_row search_rows[] = {
@@ -131,8 +102,7 @@
     {"as many as may be asked", 3, milliseconds{10}, true},
 };
 
-struct step_row {
-    const char* name;
+struct step_row : testing::named_row {
     bool idempotent;
     std::uint32_t max_arrivals;
     try_outcome outcome;
@@ -141,11 +111,6 @@
     final_status told;
 };
 
-std::ostream& operator<<(std::ostream& out, const step_row& row)
-{
-    return out << row.name;
-}
-
 const step_row step_rows[] = {
     {"an answer ends it", false, 2, try_outcome::answered, false, next_step::finish, final_status::not_run},
     {"a failed run is repeated where it may be", true, 2, try_outcome::answered, true, next_step::retry,
@@ -166,8 +131,7 @@
 };
 
 /// Two endpoints; which one is chosen.
-struct choice_row {
-    const char* name;
+struct choice_row : testing::named_row {
     bool first_own;
     bool first_near;
     bool second_near;
@@ -177,11 +141,6 @@
     const char* chosen;
 };
 
-std::ostream& operator<<(std::ostream& out, const choice_row& row)
-{
-    return out << row.name;
-}
-
 endpoint_load load_of(std::uint32_t told, std::uint32_t service_us, bool avoided = false)
 {
     endpoint_load out;
--- a/src/pomeloloft/sidecar/target_test.cpp
+++ b/src/pomeloloft/sidecar/target_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "pomeloloft/sidecar/target.hpp"
+#include "test/named_row.hpp"
 
 namespace pomeloloft::sidecar {
 namespace {
@@ -19,19 +20,13 @@
 }
 
 /// A report that comes after `a` started at 100 and sent report 5.
-struct late_row {
-    const char* name;
+struct late_row : testing::named_row {
     target_report report;
     report_effect effect;
     target_state state;
     const char* instance;
 };
 
-std::ostream& operator<<(std::ostream& out, const late_row& row)
-{
-    return out << row.name;
-}
-
 const late_row late_rows[] = {
     {"the next report", make_report("a", 100, 6), report_effect::refreshed, target_state::serving, "a"},
     {"a late report", make_report("a", 100, 4), report_effect::stale, target_state::serving, "a"},
--- a/src/pomeloloft/traffic/concurrency_limit_test.cpp
+++ b/src/pomeloloft/traffic/concurrency_limit_test.cpp
@@ -5,13 +5,13 @@
 #include <boost/test/unit_test.hpp>
 
 #include "pomeloloft/traffic/concurrency_limit.hpp"
+#include "test/named_row.hpp"
 
 namespace pomeloloft {
 namespace {
 
 /// A target with a number of slots it does not tell; beyond them it sheds, or queues and so takes longer.
-struct target_row {
-    const char* name;
+struct target_row : testing::named_row {
     std::uint32_t hidden_slots;
     std::uint32_t ceiling;
     bool sheds;
@@ -21,11 +21,6 @@
     std::uint32_t most_limit;
 };
 
-std::ostream& operator<<(std::ostream& out, const target_row& row)
-{
-    return out << row.name;
-}
-
 const target_row target_rows[] = {
     {"a target that sheds is given what it takes", 6, 40, true, 40, 4, 7},
     {"a target that queues is not kept waiting for long", 6, 40, false, 40, 4, 14},
--- a/test/integration/path_test.cpp
+++ b/test/integration/path_test.cpp
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 
 #include "fleet.hpp"
+#include "test/named_row.hpp"
 
 using namespace pomeloloft;
 using namespace pomeloloft::testing;
@@ -33,17 +34,11 @@
     fleet f;
 };
 
-struct bad_request {
-    const char* name;
+struct bad_request : named_row {
     const char* bytes;
     const char* status;
 };
 
-std::ostream& operator<<(std::ostream& out, const bad_request& row)
-{
-    return out << row.name;
-}
-
 const bad_request bad_requests[] = {
     {"two lengths", "PUT /scans/1 HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
      " 400 "},
@@ -62,17 +57,11 @@
      " 400 "},
 };
 
-struct bad_file {
-    const char* name;
+struct bad_file : named_row {
     const char* text;
     const char* said;
 };
 
-std::ostream& operator<<(std::ostream& out, const bad_file& row)
-{
-    return out << row.name;
-}
-
 const bad_file bad_files[] = {
     {"route without service", "routes:\n  a: {prefix: /a, methods: [GET], service: none}\n",
      "/routes/a/service"},
--- a/test/integration/sidecar_test.cpp
+++ b/test/integration/sidecar_test.cpp
@@ -9,6 +9,7 @@
 
 #include "pomeloloft/sidecar/member_record.hpp"
 #include "sidecar_fleet.hpp"
+#include "test/named_row.hpp"
 
 namespace pomeloloft::testing {
 namespace {
@@ -31,49 +32,37 @@
 }
 
 /// What callers get from the only target in each of its moods. Status 0: no whole answer.
-struct mood_row {
+struct mood_row : named_row {
     target_mode mode;
-    const char* name;
     int read_status;
     int write_status;
     int write_runs;
 };
 
-std::ostream& operator<<(std::ostream& out, const mood_row& row)
-{
-    return out << row.name;
-}
-
 const mood_row mood_rows[] = {
-    {target_mode::answers, "answers", 200, 200, 1},
-    {target_mode::fails, "fails", 500, 500, 1},
-    {target_mode::sheds, "sheds", 503, 503, 0},
-    {target_mode::breaks_off, "breaks off", 502, 502, 1},
-    {target_mode::stays_silent, "stays silent", 504, 504, 1},
-    {target_mode::cuts_body, "cuts the body", 502, 502, 1},
-    {target_mode::unsigned_answer, "leaves the signature out", 502, 502, 1},
-    {target_mode::stale_answer_first, "sends a stale answer first", 200, 200, 1},
-    {target_mode::extra_answer, "sends an extra answer", 200, 200, 1},
-    {target_mode::unframed, "sends a body without length", 200, 200, 1},
-    {target_mode::garbage, "sends garbage", 502, 502, 1},
+    {"answers", target_mode::answers, 200, 200, 1},
+    {"fails", target_mode::fails, 500, 500, 1},
+    {"sheds", target_mode::sheds, 503, 503, 0},
+    {"breaks off", target_mode::breaks_off, 502, 502, 1},
+    {"stays silent", target_mode::stays_silent, 504, 504, 1},
+    {"cuts the body", target_mode::cuts_body, 502, 502, 1},
+    {"leaves the signature out", target_mode::unsigned_answer, 502, 502, 1},
+    {"sends a stale answer first", target_mode::stale_answer_first, 200, 200, 1},
+    {"sends an extra answer", target_mode::extra_answer, 200, 200, 1},
+    {"sends a body without length", target_mode::unframed, 200, 200, 1},
+    {"sends garbage", target_mode::garbage, 502, 502, 1},
 };
 
 /// What the store does while a sidecar starts and a version comes.
-struct outage_row {
+struct outage_row : named_row {
     store_mode mode;
-    const char* name;
 };
 
-std::ostream& operator<<(std::ostream& out, const outage_row& row)
-{
-    return out << row.name;
-}
-
 const outage_row outage_rows[] = {
-    {store_mode::busy, "busy"},
-    {store_mode::reset, "resets connections"},
-    {store_mode::loses_answers, "loses answers"},
-    {store_mode::silent, "is silent"},
+    {"busy", store_mode::busy},
+    {"resets connections", store_mode::reset},
+    {"loses answers", store_mode::loses_answers},
+    {"is silent", store_mode::silent},
 };
 
 } // namespace
