Spread member changes through relays instead of from each node to every other

Change: a node announces its entry to two relays of its own data centre (mesh/spread, the same order at all nodes); a relay collects changes for 30 ms and passes them on to its data centre and to one relay of each other one. A node that does not respond is passed over for a time, and the next candidate is asked. Digest exchanges heal the rest, every 250 ms in the first 3 s of a process; those between data centres no longer grow with the fleet. Entries that did not change are not announced again. A leave that the store did not take is acknowledged once a peer has confirmed that very entry (before: once any exchange had ever succeeded). New crash observations travel the same way. Counters of messages and bytes by purpose and data centre.

Tests: member_spread (a fleet in virtual time: every change reaches every running node, also with relays down; messages between data centres do not grow with their nodes; a window's changes share messages), sidecar_test.

--- a/include/pomeloloft/sidecar/config_feed.hpp
+++ b/include/pomeloloft/sidecar/config_feed.hpp
@@ -74,6 +74,7 @@
     void push_to(const std::string& data_centre, const std::string& delta);
     /// A request on the configuration path that states the version this node holds.
     [[nodiscard]] net::request make_request(net::http::verb method) const;
+    void record_message(const std::string& node, std::size_t body_bytes);
     net::task<void> send_delta(std::string node, net::tcp::endpoint address, std::string delta);
     net::task<void> catch_up(std::string node);
     net::task<bool> fetch_from(std::string node);
--- a/include/pomeloloft/sidecar/daemon.hpp
+++ b/include/pomeloloft/sidecar/daemon.hpp
@@ -5,6 +5,7 @@
 #include "pomeloloft/net/server.hpp"
 #include "pomeloloft/sidecar/config_feed.hpp"
 #include "pomeloloft/sidecar/gate.hpp"
+#include "pomeloloft/sidecar/member_sync.hpp"
 #include "pomeloloft/sidecar/outbound_router.hpp"
 #include "pomeloloft/sidecar/peers.hpp"
 #include "pomeloloft/sidecar/shared_store.hpp"
@@ -56,6 +57,7 @@
     void begin_draining();
     net::task<void> shut_down();
     void publish();
+    net::task<void> remove_expired();
     /// Whether the records about the target from before this process started have been read, or the time to
     /// read them has passed.
     [[nodiscard]] bool trusts_target_state() const;
@@ -69,6 +71,7 @@
     target_gate gate;
     net::client_pool peer_pool;
     config_feed feed;
+    member_sync members;
     peer_links peers;
     outbound_router router;
     std::shared_ptr<net::server> outbound;
--- a/include/pomeloloft/sidecar/member_record.hpp
+++ b/include/pomeloloft/sidecar/member_record.hpp
@@ -7,6 +7,7 @@
 
 #include "pomeloloft/base/error.hpp"
 #include "pomeloloft/mesh/member_table.hpp"
+#include "pomeloloft/mesh/spread.hpp"
 #include "pomeloloft/sidecar/suspects.hpp"
 
 namespace pomeloloft::sidecar {
@@ -23,6 +24,8 @@
     std::uint64_t config_version = 0;
     std::uint64_t digest = 0;
     std::vector<member> members;
+    /// How far the receiver passes on what is new to it.
+    spread_scope scope = spread_scope::none;
     std::vector<crash_observation> crash_observations;
     /// The sender's bucket digests, if the receiver is to return the entries of the buckets that differ.
     std::optional<table_digest> buckets;
--- a/include/pomeloloft/sidecar/sidecar_state.hpp
+++ b/include/pomeloloft/sidecar/sidecar_state.hpp
@@ -11,6 +11,7 @@
 #include "pomeloloft/net/stream.hpp"
 #include "pomeloloft/routing/route_table.hpp"
 #include "pomeloloft/sidecar/choose.hpp"
+#include "pomeloloft/sidecar/control_counters.hpp"
 #include "pomeloloft/sidecar/link_meter.hpp"
 #include "pomeloloft/sidecar/settings.hpp"
 #include "pomeloloft/sidecar/suspects.hpp"
@@ -60,6 +61,7 @@
     std::unordered_map<std::string, endpoint_list> endpoints;
     std::unordered_map<std::string, std::unique_ptr<retry_budget>> retry_budgets;
     request_counters counters;
+    control_counters control;
     link_meter link{local_settings.link_mbps};
     crash_suspects suspects{crash_suspect_options{}};
 };
--- a/include/pomeloloft/sidecar/suspects.hpp
+++ b/include/pomeloloft/sidecar/suspects.hpp
@@ -40,7 +40,8 @@
     explicit crash_suspects(crash_suspect_options limits = {}) : options(limits) {}
 
     /// Adds an observation made by this node or received from another.
-    void add(const crash_observation& observation, time_point now);
+    /// @return whether it was not known yet.
+    bool add(const crash_observation& observation, time_point now);
 
     /// Clears a request because a target responded to it.
     void clear(std::uint64_t fingerprint) { this->suspects.erase(fingerprint); }
--- a/src/pomeloloft/sidecar/config_feed.cpp
+++ b/src/pomeloloft/sidecar/config_feed.cpp
@@ -267,15 +267,24 @@
 net::task<void> config_feed::send_delta(std::string node, net::tcp::endpoint address, std::string delta)
 {
     net::request sent = this->make_request(net::http::verb::post);
+    const std::size_t sent_bytes = delta.size();
     sent.body() = std::move(delta);
     sent.prepare_payload();
     const time_point deadline = steady_clock::now() + push_timeout;
     const auto call_result = co_await this->pool.call(address, std::move(sent), deadline);
     if (call_result) {
+        this->record_message(node, sent_bytes + call_result.value().body().size());
         this->handle_announced_version(node, net::header_text(call_result.value(), peer_header::config));
     }
 }
 
+void config_feed::record_message(const std::string& node, std::size_t body_bytes)
+{
+    const member* known = find_member(this->shared.members, node);
+    const bool remote = known != nullptr && known->data_centre != this->shared.local_settings.data_centre;
+    this->shared.control.record_config(remote, body_bytes);
+}
+
 net::request config_feed::make_request(net::http::verb method) const
 {
     net::request out{method, peer_header::config_path, 11};
@@ -403,6 +412,7 @@
     if (!call_result || call_result.value().result() != net::http::status::ok) {
         co_return false;
     }
+    this->record_message(node, call_result.value().body().size());
     const auto applied = this->apply_encoded_delta(call_result.value().body());
     if (!applied) {
         log_warning("config-ignored", {{"from", node}, {"reason", to_string(applied.error())}});
--- a/src/pomeloloft/sidecar/daemon.cpp
+++ b/src/pomeloloft/sidecar/daemon.cpp
@@ -27,14 +27,13 @@
 constexpr milliseconds join_timeout{3000};
 /// Time within which a peer responds if it is reachable at all.
 constexpr milliseconds peer_sync_timeout{350};
-/// Time within which running peers respond after the first one has; those that do not have just started as
-/// well, or are gone.
-constexpr milliseconds live_peer_sync_timeout{60};
 constexpr milliseconds peer_sync_poll{5};
 /// Time after which a connection attempt to a peer is abandoned.
 constexpr milliseconds peer_connect_timeout{300};
 constexpr milliseconds discovery_interval{300};
 constexpr milliseconds reconnect_interval{300};
+/// Interval at which idle connections and expired observations are removed.
+constexpr milliseconds cleanup_interval{1000};
 /// New requests are stopped this long before the end of the drain period, so that requests already on their
 /// way still reach the target in time.
 constexpr milliseconds drain_margin{400};
@@ -78,7 +77,8 @@
     : loop(io_loop), shared{std::move(local_settings)}, store(std::move(platform_store)),
       gate(io_loop, this->shared.local_settings), peer_pool(io_loop, peer_pool_options()),
       feed(io_loop, this->shared, *this->store, std::move(decode), this->peer_pool),
-      peers(io_loop, this->shared, this->gate, this->feed, this->peer_pool),
+      members(io_loop, this->shared, this->feed, this->peer_pool),
+      peers(io_loop, this->shared, this->gate, this->feed, this->members, this->peer_pool),
       router(this->shared, this->gate, this->peers), started_at(steady_clock::now())
 {
     member& self = this->shared.self;
@@ -114,7 +114,7 @@
         }
     };
     this->feed.on_store_reachability = [this] { this->publish(); };
-    this->peers.on_earlier_incarnation = [this](const member& earlier) {
+    this->members.on_earlier_incarnation = [this](const member& earlier) {
         this->handle_earlier_incarnation(earlier);
     };
     this->gate.on_reachable = [this](bool reachable) {
@@ -129,7 +129,8 @@
     net::spawn(this->loop, this->feed.announce_version(), "confirm-config");
     net::spawn(this->loop, this->join(), "join");
     net::spawn(this->loop, this->discover_target(), "find-target");
-    net::spawn(this->loop, this->peers.keep_in_sync(), "keep-in-sync");
+    net::spawn(this->loop, this->members.keep_in_sync(), "keep-in-sync");
+    net::spawn(this->loop, this->remove_expired(), "remove-expired");
     return success();
 }
 
@@ -174,21 +175,16 @@
             break;
         }
         // While the store does not respond, a response from a peer that knows this node is sufficient.
-        this->shared.joined = this->shared.joined || this->peers.has_synced_with_peer();
-        const bool is_serving = this->gate.target.state == target_state::serving;
-        if (is_serving && this->trusts_target_state() && this->shared.self.state == member_state::idle) {
-            this->publish();
-        }
+        this->shared.joined = this->shared.joined || this->members.has_synced_with_peer();
+        this->publish();
         co_await net::sleep_for(pause);
         pause = std::min(pause * 2, max_retry_pause);
     }
     // Peers respond to the first message of this process with the entry of its predecessor.
     const time_point start_time = steady_clock::now();
     const auto must_wait = [this, start_time] {
-        const auto waited = steady_clock::now() - start_time;
-        const milliseconds limit =
-            this->peers.has_synced_with_peer() ? live_peer_sync_timeout : peer_sync_timeout;
-        return this->peers.syncs_in_progress() > 0 && waited < limit;
+        return !this->members.has_caught_up() && this->members.announcements_in_progress() > 0 &&
+               steady_clock::now() - start_time < peer_sync_timeout;
     };
     while (must_wait()) {
         co_await net::sleep_for(peer_sync_poll);
@@ -242,7 +238,7 @@
         log_warning("member-ignored", {{"key", record.key}, {"reason", to_string(decoded.error())}});
         return;
     }
-    this->peers.merge_members({decoded.value()});
+    this->members.merge_members({decoded.value()});
 }
 
 void sidecar_daemon::handle_earlier_incarnation(const member& earlier)
@@ -274,7 +270,7 @@
         const bool may_serve = this->shared.config.load() != nullptr && !this->shared.stopping;
         state = may_serve ? member_state::serving : member_state::idle;
     }
-    this->peers.publish_self(state);
+    this->members.publish_self(state);
 }
 
 net::task<bool> sidecar_daemon::handle_report(target_report reported)
@@ -334,8 +330,11 @@
         this->persisted_departure = leaving;
         co_return true;
     }
-    // Peers hold this node's entry, so a restarted process learns of the departure from them.
-    const bool peers_know = this->peers.has_synced_with_peer();
+    // A peer that holds this node's entry tells a restarted process of the departure.
+    while (!this->members.peer_knows_self() && steady_clock::now() < deadline) {
+        co_await net::sleep_for(peer_sync_poll);
+    }
+    const bool peers_know = this->members.peer_knows_self();
     log_warning("departure-not-stored", {{"instance", leaving.id},
                                          {"reason", to_string(written.error())},
                                          {"peers_know", peers_know ? "yes" : "no"}});
@@ -363,6 +362,16 @@
     }
 }
 
+net::task<void> sidecar_daemon::remove_expired()
+{
+    for (;;) {
+        co_await net::sleep_for(cleanup_interval);
+        this->peer_pool.sweep();
+        this->gate.sweep();
+        this->shared.suspects.remove_expired(steady_clock::now());
+    }
+}
+
 net::task<void> sidecar_daemon::reconnect_target()
 {
     while (!this->gate.reachable() && !this->shared.stopping) {
--- a/src/pomeloloft/sidecar/member_record.cpp
+++ b/src/pomeloloft/sidecar/member_record.cpp
@@ -119,6 +119,16 @@
     return out;
 }
 
+/// The spread scope of a message; `none` when it is absent or unknown.
+spread_scope scope_in(const json& in)
+{
+    const auto found = in.find("spread");
+    if (found == in.end() || !found->is_string()) {
+        return spread_scope::none;
+    }
+    return value_of(spread_scope_names, found->get_ref<const std::string&>()).value_or(spread_scope::none);
+}
+
 } // namespace
 
 std::string encode_member(const member& m)
@@ -151,6 +161,9 @@
             crash_observations.push_back(json::array({observation.fingerprint, observation.node}));
         }
     }
+    if (message.scope != spread_scope::none) {
+        out["spread"] = name_of(spread_scope_names, message.scope);
+    }
     if (message.buckets) {
         out["buckets"] = *message.buckets;
     }
@@ -177,6 +190,7 @@
     out.node = node->get<std::string>();
     out.config_version = config->get<std::uint64_t>();
     out.digest = digest->get<std::uint64_t>();
+    out.scope = scope_in(parsed);
     out.buckets = buckets_in(parsed);
     out.crash_observations = crash_observations_in(parsed);
     for (const json& entry : *members) {
--- a/src/pomeloloft/sidecar/metrics.cpp
+++ b/src/pomeloloft/sidecar/metrics.cpp
@@ -26,6 +26,38 @@
     family.metric.push_back(std::move(metric));
 }
 
+void add_message_counter(prometheus::MetricFamily& messages, prometheus::MetricFamily& bytes,
+                         const char* purpose, const char* to, const message_counter& counted)
+{
+    for (const auto& [family, value] :
+         {std::pair{&messages, counted.messages}, std::pair{&bytes, counted.bytes}}) {
+        prometheus::ClientMetric metric;
+        metric.label.push_back({"purpose", purpose});
+        metric.label.push_back({"to", to});
+        metric.counter.value = static_cast<double>(value);
+        family->metric.push_back(std::move(metric));
+    }
+}
+
+/// Messages to other sidecars and their bytes, by purpose and by data centre.
+void add_message_counters(std::vector<prometheus::MetricFamily>& families, const control_counters& counted)
+{
+    constexpr const char* local = "own-data-centre";
+    constexpr const char* remote = "other-data-centre";
+    prometheus::MetricFamily messages = counter_family(
+        "pomeloloft_peer_messages_total", "Exchanges with other sidecars, counted by the sender.");
+    prometheus::MetricFamily bytes =
+        counter_family("pomeloloft_peer_bytes_total", "Bytes of the bodies of these exchanges, both ways.");
+    add_message_counter(messages, bytes, "members", local, counted.members_local);
+    add_message_counter(messages, bytes, "members", remote, counted.members_remote);
+    add_message_counter(messages, bytes, "config", local, counted.config_local);
+    add_message_counter(messages, bytes, "config", remote, counted.config_remote);
+    add_message_counter(messages, bytes, "requests", local, counted.requests_local);
+    add_message_counter(messages, bytes, "requests", remote, counted.requests_remote);
+    families.push_back(std::move(messages));
+    families.push_back(std::move(bytes));
+}
+
 prometheus::MetricFamily gauge(const char* name, const char* help, double value)
 {
     prometheus::MetricFamily out;
@@ -55,6 +87,7 @@
     families.push_back(counter_family("pomeloloft_tries_total", "Further tries of requests by reason."));
     add_counter(families.back(), "reason", "redirected", c.redirected);
     add_counter(families.back(), "reason", "retried", c.retried);
+    add_message_counters(families, state.control);
     const load_report load = gate.report();
     families.push_back(gauge("pomeloloft_target_running", "Requests at the target.", load.running));
     families.push_back(gauge("pomeloloft_target_waiting", "Requests waiting for the target.", load.waiting));
--- a/src/pomeloloft/sidecar/peer_forwarding.cpp
+++ b/src/pomeloloft/sidecar/peer_forwarding.cpp
@@ -96,6 +96,7 @@
                                                   net::tcp::endpoint address, target_call call)
 {
     const std::string node = to.node;
+    const bool to_same_data_centre = to.same_data_centre;
     endpoint_load& load = *to.load;
     target_call_result out;
     auto connected = co_await this->pool.acquire(address, call.deadline);
@@ -152,6 +153,8 @@
         this->pool.release(address, std::move(connected.value()));
     }
     net::response& response = completed.response;
+    const std::size_t sent_bytes = completed.body_withheld ? 0 : sent.body().size();
+    this->shared.control.record_request(!to_same_data_centre, sent_bytes + response.body().size());
     if (const auto report = decode_load(net::header_text(response, peer_header::load))) {
         apply_load_report(load, *report, steady_clock::now());
     }
--- a/src/pomeloloft/sidecar/suspects.cpp
+++ b/src/pomeloloft/sidecar/suspects.cpp
@@ -6,18 +6,19 @@
 
 namespace pomeloloft::sidecar {
 
-void crash_suspects::add(const crash_observation& observation, time_point now)
+bool crash_suspects::add(const crash_observation& observation, time_point now)
 {
     const bool known = this->suspects.contains(observation.fingerprint);
     if (!known && this->suspects.size() >= this->options.max_tracked) {
-        return;
+        return false;
     }
     suspect& tracked = this->suspects[observation.fingerprint];
     if (std::find(tracked.nodes.begin(), tracked.nodes.end(), observation.node) != tracked.nodes.end()) {
-        return;
+        return false;
     }
     tracked.nodes.push_back(observation.node);
     tracked.expires_at = now + this->options.retention;
+    return true;
 }
 
 bool crash_suspects::is_quarantined(std::uint64_t fingerprint, time_point now) const
