Tell an ending process from a running one before a crash is attributed

In the failing runs' logs event=target-crashed is missing; that the probe connects to an ending process is now shown by a unit case.

Change: the probe's connection must stay open for 60 ms; if it ends, the next connection decides (refused: the process is gone; accepted: a running target at its limit of connections).

--- a/src/pomeloloft/proxy/serve_target.cpp
+++ b/src/pomeloloft/proxy/serve_target.cpp
@@ -4,6 +4,7 @@
 #include "pomeloloft/base/log_line.hpp"
 #include "pomeloloft/proxy/exchange.hpp"
 #include "pomeloloft/proxy/serve.hpp"
+#include "pomeloloft/proxy/target_probe.hpp"
 
 namespace pomeloloft {
 namespace {
@@ -67,14 +68,13 @@
     notify_change(board);
 }
 
-/// Checks after a lost connection whether the target has crashed, that is, no longer accepts connections. A
+/// Checks after a lost connection whether the target has crashed, that is, its process no longer runs. A
 /// crash is attributed to the request, unless other requests ran concurrently and an identical request has
 /// succeeded recently.
 /// @return whether the target crashed.
 bool diagnose_lost_connection(blackboard& board, const announced_target& target, std::uint64_t fingerprint)
 {
-    constexpr milliseconds probe_timeout{200};
-    if (board.target_connections.connect(target.address, steady_clock::now() + probe_timeout)) {
+    if (is_target_running(board.target_connections, target.address)) {
         return false;
     }
     mark_unreachable(board, target.address);
