Leave an unreachable store to probers

Starting processes still write and read for themselves, and a node without a live reader still reads a healthy store at once.

Test: store_polling.

--- a/include/pomeloloft/sidecar/config_feed.hpp
+++ b/include/pomeloloft/sidecar/config_feed.hpp
@@ -90,7 +90,8 @@
     std::deque<std::shared_ptr<const routing::route_table>> history;
     /// Time of the last message from a reader, by node.
     std::unordered_map<std::string, time_point> reader_last_heard;
-    milliseconds retry_pause{0};
+    /// Calls to the store that failed since the last success.
+    std::uint32_t store_failures = 0;
     bool store_reachable = true;
     bool reading = false;
     bool catching_up = false;
--- a/src/pomeloloft/sidecar/config_feed.cpp
+++ b/src/pomeloloft/sidecar/config_feed.cpp
@@ -13,12 +13,13 @@
 #include "pomeloloft/routing/table_codec.hpp"
 #include "pomeloloft/sidecar/peer_headers.hpp"
 #include "pomeloloft/sidecar/random.hpp"
+#include "pomeloloft/sidecar/store_polling.hpp"
 
 namespace pomeloloft::sidecar {
 namespace {
 
-constexpr milliseconds min_retry_pause{100};
-constexpr milliseconds max_retry_pause{1000};
+/// Mean interval at which a node that lost the store checks it while others read it for this node.
+constexpr milliseconds store_check_interval{1000};
 /// A reachable store responds to a small call within this time.
 constexpr milliseconds store_check_timeout{500};
 /// Interval at which readers announce the newest version; `reader_timeout` expires after two missed
@@ -46,6 +47,12 @@
 /// Suitability of a member as reader for a data centre; lower is better.
 using reader_rank = std::tuple<bool, bool, std::int64_t, std::uint64_t>;
 
+/// A random duration from half of `mean` to one and a half.
+milliseconds spread_around(milliseconds mean)
+{
+    return mean / 2 + milliseconds(random_draw() % static_cast<std::uint64_t>(mean.count()));
+}
+
 bool may_read(const member& m)
 {
     return m.state != member_state::gone && m.reaches_store;
@@ -171,7 +178,7 @@
         co_await net::sleep_for(idle_poll);
         co_return;
     }
-    co_await net::sleep_for(max_retry_pause / 2 + milliseconds(random_draw() % max_retry_pause.count()));
+    co_await net::sleep_for(spread_around(store_check_interval));
     const bool reached = co_await this->store.is_reachable(steady_clock::now() + store_check_timeout);
     if (reached) {
         this->set_store_reachable(true, {});
@@ -199,12 +206,14 @@
     const auto next = co_await this->store.next_config();
     if (!next) {
         this->set_store_reachable(false, to_string(next.error()));
-        this->retry_pause = std::clamp(this->retry_pause * 2, min_retry_pause, max_retry_pause);
-        const auto spread = static_cast<std::uint64_t>(this->retry_pause.count());
-        co_await net::sleep_for(this->retry_pause / 2 + milliseconds(random_draw() % spread));
+        ++this->store_failures;
+        const milliseconds pause =
+            store_retry_pause({this->store_failures, this->shared.config.load() != nullptr,
+                               is_store_prober(this->shared.members, this->shared.local_settings.node)});
+        co_await net::sleep_for(spread_around(pause));
         co_return;
     }
-    this->retry_pause = milliseconds{0};
+    this->store_failures = 0;
     this->set_store_reachable(true, {});
     if (!next.value()) {
         co_return;
