--- a/src/pomeloloft/net/server.cpp
+++ b/src/pomeloloft/net/server.cpp
@@ -181,6 +181,8 @@
     self->acceptor.open(endpoint.protocol(), ec);
     if (!ec) {
         self->acceptor.set_option(asio::socket_base::reuse_address(true), ec);
+    }
+    if (!ec) {
         self->acceptor.bind(endpoint, ec);
     }
     if (!ec) {
