--- a/include/pomeloloft/sidecar/choose.hpp
+++ b/include/pomeloloft/sidecar/choose.hpp
@@ -40,8 +40,6 @@
     bool is_own_target = false;
     bool same_data_centre = false;
     endpoint_load* load = nullptr;
-    /// Whether this sender prefers the endpoint to those outside its aperture.
-    bool in_aperture = true;
 };
 
 /// Parameters of the cost estimate by which endpoints are compared.
@@ -62,9 +60,6 @@
     double remote_vm_ms = 1.0;
     /// Milliseconds added for each KB of request body sent to another VM: its transfer time on the VM's link.
     double remote_vm_ms_per_kb = 0.008;
-    /// Fraction of the mean service time added for an endpoint outside the aperture: the load there is known
-    /// less well than that of the endpoints that this sender uses often.
-    double outside_aperture_services = 0.35;
     /// Milliseconds added for an endpoint in another data centre, for network latency and the cost of the
     /// traffic.
     double remote_data_centre_ms = 60.0;
--- a/src/pomeloloft/sidecar/choose.cpp
+++ b/src/pomeloloft/sidecar/choose.cpp
@@ -117,9 +117,6 @@
     if (!c.is_own_target && !c.same_data_centre) {
         distance += options.remote_data_centre_ms + options.remote_data_centre_ms_per_kb * kb;
     }
-    if (!c.in_aperture) {
-        distance += options.outside_aperture_services * options.default_service_ms;
-    }
     const double failing = penalty_ms_of(load, request.now, options);
     return wait + service * (1.0 + options.full_load_slowdown * busy) + distance + failing;
 }
