--- a/test/stand_ins/platform_store.cpp
+++ b/test/stand_ins/platform_store.cpp
@@ -147,6 +147,11 @@
     co_return out;
 }
 
+void platform_store::record_epoch(const std::string& topic, const std::string& producer, std::uint64_t epoch)
+{
+    this->topics[topic].epochs[producer] = epoch;
+}
+
 net::reply platform_store::append(const std::map<std::string, std::string>& query, const std::string& body)
 {
     topic_log& log = this->topics[query.at("Topic")];
--- a/test/stand_ins/platform_store.hpp
+++ b/test/stand_ins/platform_store.hpp
@@ -35,6 +35,10 @@
     /// Appends a record directly, as a change by the operator; an empty value deletes the key.
     void put(const std::string& topic, const std::string& key, const std::string& value);
 
+    /// Records an epoch of a producer, as a write of it would: writes with lower epochs are fenced from now
+    /// on.
+    void record_epoch(const std::string& topic, const std::string& producer, std::uint64_t epoch);
+
     /// Discards the records of a topic and keeps the newest value of each key. Reads from a discarded offset
     /// are then answered with 410.
     void compact(const std::string& topic);
