--- a/include/pomeloloft/mesh/spread.hpp
+++ b/include/pomeloloft/mesh/spread.hpp
@@ -87,10 +87,13 @@
 struct pending_spread {
     /// Scope of each changed entry, by node.
     std::map<std::string, spread_scope> entries;
-    /// Widest scope of changes that are not entries, such as crash observations.
-    spread_scope other = spread_scope::none;
+    /// Widest scope of new crash observations, which travel with the entries.
+    spread_scope observations = spread_scope::none;
 
-    [[nodiscard]] bool empty() const { return this->entries.empty() && this->other == spread_scope::none; }
+    [[nodiscard]] bool empty() const
+    {
+        return this->entries.empty() && this->observations == spread_scope::none;
+    }
 };
 
 /// A batch of entries and where a relay sends it.
@@ -110,8 +113,8 @@
                                                     const unresponsive_nodes& unresponsive, time_point now,
                                                     const spread_options& options);
 
-/// Whether one in how many digest exchanges goes to another data centre, for a data centre of
-/// `local_members` nodes: the exchanges between data centres do not grow with the fleet.
+/// One in this many digest exchanges of a node goes to another data centre. It grows with the number of nodes
+/// of the node's own data centre, so that the exchanges between data centres do not grow with the fleet.
 [[nodiscard]] std::uint64_t remote_exchange_period(std::size_t local_members);
 
 } // namespace pomeloloft
--- a/include/pomeloloft/sidecar/member_sync.hpp
+++ b/include/pomeloloft/sidecar/member_sync.hpp
@@ -76,7 +76,8 @@
     void apply(const sync_message& message);
     /// @return the nodes whose entries changed.
     std::vector<std::string> merge_entries(const std::vector<member>& incoming);
-    void schedule_spread(const std::vector<std::string>& changed, bool other_changed, spread_scope scope);
+    void schedule_spread(const std::vector<std::string>& changed, bool observations_changed,
+                         spread_scope scope);
     [[nodiscard]] sync_message make_message() const;
     [[nodiscard]] const member* random_peer() const;
     /// The entry held for an earlier process of the sender, which tells the sender what that process had
--- a/src/pomeloloft/mesh/spread.cpp
+++ b/src/pomeloloft/mesh/spread.cpp
@@ -71,7 +71,7 @@
     }
     for (const member* m : members_of(members, self.data_centre)) {
         const bool has_it_already = pending.entries.size() == 1 && pending.entries.contains(m->node) &&
-                                    pending.other == spread_scope::none;
+                                    pending.observations == spread_scope::none;
         if (m->node != self.node && !has_it_already && !unresponsive.contains(m->node, now)) {
             out.receivers.push_back(m->node);
         }
@@ -149,7 +149,7 @@
             remote.entries.push_back(*changed);
         }
     }
-    if (remote.entries.empty() && pending.other != spread_scope::fleet) {
+    if (remote.entries.empty() && pending.observations != spread_scope::fleet) {
         return out;
     }
     // The relays of this data centre begin with different relays of the others, so that the loss of one
--- a/src/pomeloloft/sidecar/member_sync.cpp
+++ b/src/pomeloloft/sidecar/member_sync.cpp
@@ -139,18 +139,18 @@
     this->feed.handle_announced_version(message.node, std::to_string(message.config_version));
 }
 
-void member_sync::schedule_spread(const std::vector<std::string>& changed, bool other_changed,
+void member_sync::schedule_spread(const std::vector<std::string>& changed, bool observations_changed,
                                   spread_scope scope)
 {
-    if (scope == spread_scope::none || (changed.empty() && !other_changed)) {
+    if (scope == spread_scope::none || (changed.empty() && !observations_changed)) {
         return;
     }
     for (const std::string& node : changed) {
         spread_scope& known = this->pending.entries[node];
         known = std::max(known, scope);
     }
-    if (other_changed) {
-        this->pending.other = std::max(this->pending.other, scope);
+    if (observations_changed) {
+        this->pending.observations = std::max(this->pending.observations, scope);
     }
     if (!this->send_scheduled) {
         this->send_scheduled = true;
