See a client's close behind bytes that it sent after its request

What callers saw: work went on until its deadline for callers that had left (GONE). Cause: the watch for a close peeked one byte; once a byte had come behind the request it waited for ever, so a close behind a line end or a pipelined request was not seen. Evidence: abandoned_requests_test, rows with a line end, a partial and a whole request behind the first failed with the binary before (work went on for over 0.5 s), the row with nothing behind passed. Now what arrives is moved into the connection's read buffer, from which the next request is read, and the watch goes on. Ruled out: a lost cancellation further on, as the same request without the byte ended in time at both sidecars.

--- a/include/pomeloloft/net/server.hpp
+++ b/include/pomeloloft/net/server.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "pomeloloft/net/client_watch.hpp"
 #include "pomeloloft/net/stream.hpp"
 
 namespace pomeloloft::net {
@@ -30,6 +31,10 @@
 /// Handles one request. The task is cancelled when the client closes its connection.
 using handler = std::function<task<reply>(request&)>;
 
+/// Same as above, for handlers that pass the request on and therefore need to know whether the client is
+/// still connected.
+using watched_handler = std::function<task<reply>(request&, client_watch&)>;
+
 /// The decision on a request with `Expect: 100-continue`, whose client waits before it sends the body.
 struct expect_continue_decision {
     /// Response that refuses the body; empty when the body is accepted.
@@ -52,6 +57,11 @@
     [[nodiscard]] static result<std::shared_ptr<server>>
     start(event_loop& loop, const std::string& address, const std::string& setting, handler on_request);
 
+    /// Same as above.
+    [[nodiscard]] static result<std::shared_ptr<server>> start(event_loop& loop, const std::string& address,
+                                                               const std::string& setting,
+                                                               watched_handler on_request);
+
     /// Limits that apply to the requests read from now on.
     server_limits limits;
 
@@ -70,7 +80,7 @@
     /// Number of requests being handled.
     [[nodiscard]] std::uint32_t active() const { return this->active_count; }
 
-    server(event_loop& owner_loop, handler on_request)
+    server(event_loop& owner_loop, watched_handler on_request)
         : loop(owner_loop), acceptor(owner_loop), request_handler(std::move(on_request))
     {}
 
@@ -81,7 +91,7 @@
 
     event_loop& loop;
     tcp_acceptor acceptor;
-    handler request_handler;
+    watched_handler request_handler;
     bool closing = false;
     std::uint32_t active_count = 0;
 };
--- a/src/pomeloloft/net/server.cpp
+++ b/src/pomeloloft/net/server.cpp
@@ -33,27 +33,6 @@
     std::uint32_t& counter;
 };
 
-/// Returns when the client has closed its connection.
-task<void> wait_for_close(tcp_stream& stream)
-{
-    const auto [ec] = co_await stream.socket().async_wait(tcp::socket::wait_read, use_task);
-    if (ec || !stream.socket().is_open()) {
-        co_return;
-    }
-    char byte = 0;
-    error_code peek_ec;
-    const auto received_bytes =
-        stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, peek_ec);
-    if (peek_ec || received_bytes == 0) {
-        co_return;
-    }
-    // The client has pipelined its next request. A close after it is detected when that request is read, so
-    // this waits until it is cancelled.
-    timer never(co_await asio::this_coro::executor);
-    never.expires_at(no_deadline);
-    co_await never.async_wait(use_task);
-}
-
 http::status status_for(const error_code& ec)
 {
     if (ec == http::error::header_limit || ec == http::error::buffer_overflow) {
@@ -147,8 +126,9 @@
         if (self.on_expect_continue) {
             stream.expires_never();
             const std::uint64_t body_bytes = parser.content_length().value_or(0);
+            client_watch client(stream, buffer);
             auto decided =
-                co_await (self.on_expect_continue(parser.get(), body_bytes) || wait_for_close(stream));
+                co_await (self.on_expect_continue(parser.get(), body_bytes) || client.wait_for_close());
             if (decided.index() == 1) {
                 co_return read_outcome::unusable;
             }
@@ -174,6 +154,15 @@
 
 result<std::shared_ptr<server>> server::start(event_loop& loop, const std::string& address,
                                               const std::string& setting, handler on_request)
+{
+    return start(loop, address, setting,
+                 watched_handler([on_request = std::move(on_request)](request& received, client_watch&) {
+                     return on_request(received);
+                 }));
+}
+
+result<std::shared_ptr<server>> server::start(event_loop& loop, const std::string& address,
+                                              const std::string& setting, watched_handler on_request)
 {
     BOOST_OUTCOME_TRY(const auto endpoint, parse_endpoint(address, setting));
     auto self = std::make_shared<server>(loop, std::move(on_request));
@@ -252,7 +241,8 @@
     const unsigned version = parser.get().version();
     request received = parser.release();
     stream.expires_never();
-    auto finished = co_await (self.request_handler(received) || wait_for_close(stream));
+    client_watch client(stream, buffer);
+    auto finished = co_await (self.request_handler(received, client) || client.wait_for_close());
     if (finished.index() == 1) {
         co_return false;
     }
