Take a head that ends with its connection for no response

Cause, proxy front: POCO takes the end of the stream for the end of the head, so a head cut behind its status line or behind a header passed, and with a length of 0, a 204 or no length yet its body was complete. Evidence: unit heads_of_blocking_connections, heads of six kinds cut after every byte: all six rows failed before, none after. The socket of a connection now fails a read at the end of the stream while the head is read. The sidecar's connections (Beast) report such heads: unit faulty_targets a_head_that_ends_early_is_no_response passed before as well.

--- a/src/pomeloloft/http/connection_pool.cpp
+++ b/src/pomeloloft/http/connection_pool.cpp
@@ -38,6 +38,10 @@
             if (received > this->limits->head_bytes_left) {
                 throw Poco::DataFormatException("the head of the response is too long");
             }
+            if (count == 0) {
+                // POCO takes the end of the stream for the end of the head.
+                throw Poco::DataFormatException("the head of the response is incomplete");
+            }
             this->limits->head_bytes_left -= received;
         }
         *this->eof_seen = *this->eof_seen || count == 0;
