Let restarts not renew the retry budget, and no process hold that of the fleet

Cause: each process began with a full budget, so that every restart renewed it, and divided the fleet's reserve by the members it knew at its first retry: itself alone before it had joined (62 of 62 instead of 4 with 13 nodes); the share stayed when the fleet grew. A budget now begins empty, has at most one retry before the process has joined, and its maximum follows the members.

--- a/include/pomeloloft/traffic/retry.hpp
+++ b/include/pomeloloft/traffic/retry.hpp
@@ -69,10 +69,16 @@
 class retry_budget {
 public:
     /// @param reserve maximum number of retries in the budget, which is also the initial number.
-    explicit retry_budget(std::int64_t reserve = default_reserve)
-        : tenths(reserve * retry_tenths), max_tenths(reserve * retry_tenths)
+    explicit retry_budget(std::int64_t reserve = default_reserve) : retry_budget(reserve, reserve) {}
+
+    /// @param initial number of retries in the budget at first.
+    retry_budget(std::int64_t reserve, std::int64_t initial)
+        : tenths(initial * retry_tenths), max_tenths(reserve * retry_tenths)
     {}
 
+    /// Changes the maximum number of retries in the budget, which is reduced to it.
+    void set_reserve(std::int64_t reserve);
+
     /// Adds a tenth of a retry for a request.
     void deposit();
 
@@ -88,7 +94,7 @@
 
     /// Budget in tenths of a retry.
     std::atomic<std::int64_t> tenths;
-    std::int64_t max_tenths;
+    std::atomic<std::int64_t> max_tenths;
 };
 
 } // namespace pomeloloft
--- a/src/pomeloloft/sidecar/sidecar_state.cpp
+++ b/src/pomeloloft/sidecar/sidecar_state.cpp
@@ -65,12 +65,16 @@
 
 retry_budget& retry_budget_of(sidecar_state& shared, const std::string& service)
 {
+    const auto nodes = static_cast<double>(std::max<std::size_t>(shared.members.entries.size(), 1));
+    const auto share = static_cast<std::int64_t>(shared.local_settings.retry_reserve / nodes);
+    // Before it has joined, a process does not know how many share the reserve.
+    const std::int64_t reserve = shared.joined ? std::max<std::int64_t>(share, 1) : 1;
     auto& budget = shared.retry_budgets[service];
     if (!budget) {
-        const auto nodes = static_cast<double>(std::max<std::size_t>(shared.members.entries.size(), 1));
-        const auto share = static_cast<std::int64_t>(shared.local_settings.retry_reserve / nodes);
-        budget = std::make_unique<retry_budget>(std::max<std::int64_t>(share, 1));
+        // What an earlier process of this node has spent is not known.
+        budget = std::make_unique<retry_budget>(reserve, 0);
     }
+    budget->set_reserve(reserve);
     return *budget;
 }
 
--- a/src/pomeloloft/traffic/retry.cpp
+++ b/src/pomeloloft/traffic/retry.cpp
@@ -40,9 +40,19 @@
     return milliseconds(random % static_cast<std::uint64_t>(bound.count() + 1));
 }
 
+void retry_budget::set_reserve(std::int64_t reserve)
+{
+    const std::int64_t limit = reserve * retry_tenths;
+    this->max_tenths.store(limit, std::memory_order_relaxed);
+    std::int64_t available_tenths = this->tenths.load(std::memory_order_relaxed);
+    while (available_tenths > limit &&
+           !this->tenths.compare_exchange_weak(available_tenths, limit, std::memory_order_relaxed)) {
+    }
+}
+
 void retry_budget::deposit()
 {
-    if (this->tenths.load(std::memory_order_relaxed) < this->max_tenths) {
+    if (this->tenths.load(std::memory_order_relaxed) < this->max_tenths.load(std::memory_order_relaxed)) {
         this->tenths.fetch_add(1, std::memory_order_relaxed);
     }
 }
