Send a request that its target has rejected on a new connection

Cause: a response is matched by its request's id. A request that was rejected may be sent to the same target again under the same id, and on the same connection, where the earlier refusal fits; so does any response without an id to a request without one. Evidence: unit faulty_targets a_refusal_sent_once_more_does_not_answer_a_request_that_runs, 2 of 3 rows failed before (the same request again; requests without an id); the row with another request between passed. The proxy front has no such statuses: any response of a target counts as run.

--- a/include/pomeloloft/sidecar/gate.hpp
+++ b/include/pomeloloft/sidecar/gate.hpp
@@ -17,6 +17,7 @@
 #include "pomeloloft/sidecar/settings.hpp"
 #include "pomeloloft/sidecar/suspects.hpp"
 #include "pomeloloft/sidecar/target.hpp"
+#include "pomeloloft/traffic/recent_set.hpp"
 #include "pomeloloft/traffic/smoothed_time.hpp"
 
 namespace pomeloloft::sidecar {
@@ -115,6 +116,8 @@
     time_point next_connect_at;
     time_point last_response_at;
     target_liveness liveness;
+    /// Ids of requests that the target has rejected or failed.
+    recent_set failed_ids;
     /// Start times of the exchanges in progress.
     std::multiset<time_point> exchanges_in_progress;
 };
--- a/src/pomeloloft/sidecar/gate.cpp
+++ b/src/pomeloloft/sidecar/gate.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "pomeloloft/base/hash.hpp"
 #include "pomeloloft/net/timer.hpp"
 
 namespace pomeloloft::sidecar {
@@ -71,6 +72,18 @@
     std::multiset<time_point>::iterator entry;
 };
 
+bool is_server_error(const net::response& response)
+{
+    return to_status_class(response.result()) == net::http::status_class::server_error;
+}
+
+/// Whether the sender may send the request to this target again.
+bool may_be_sent_again(const target_call_result& ended)
+{
+    return ended.outcome == attempt_outcome::rejected ||
+           (ended.outcome == attempt_outcome::answered && is_server_error(ended.response));
+}
+
 bool is_encoded(const net::response& response)
 {
     return response.find(net::http::field::content_encoding) != response.end();
@@ -162,7 +175,7 @@
     // A gateway timeout is caused by the caller's deadline and does not count as a failure of the target.
     const bool is_failed_response =
         call_result.outcome == attempt_outcome::answered &&
-        to_status_class(call_result.response.result()) == net::http::status_class::server_error &&
+        is_server_error(call_result.response) &&
         call_result.response.result() != net::http::status::gateway_timeout;
     add_sample(this->failure_ratio, is_failed_response || call_result.outcome == attempt_outcome::lost);
     add_sample(this->rejection_ratio, call_result.outcome == attempt_outcome::rejected);
@@ -286,7 +299,16 @@
 {
     target_call_result out;
     const milliseconds max_idle = call.idempotent ? max_idle_idempotent : max_idle_non_idempotent;
-    auto connected = co_await this->pool.acquire(this->address, call.deadline, max_idle);
+    const std::string id(net::header_text(sent, this->local_settings.headers.request_id));
+    const std::uint64_t id_hash = hash_bytes(id);
+    // A target may send a response once more, where the next one is expected. The id tells it apart, unless
+    // the same request is sent again or has no id.
+    const bool needs_new_connection =
+        id.empty() || this->failed_ids.contains(id_hash, steady_clock::now());
+    net::task<result<net::connection_ptr>> connecting =
+        needs_new_connection ? this->pool.connect(this->address, call.deadline)
+                             : this->pool.acquire(this->address, call.deadline, max_idle);
+    auto connected = co_await std::move(connecting);
     if (!connected) {
         const time_point now = steady_clock::now();
         if (connected.error().code == pomeloloft::error_code::cancelled) {
@@ -324,13 +346,16 @@
     }
     const auto slot_time =
         std::chrono::duration_cast<std::chrono::microseconds>(steady_clock::now() - started);
-    if (completed.reusable) {
+    if (completed.reusable && !id.empty()) {
         this->pool.release(this->address, std::move(target_connection));
     }
     const net::exchange_end end = completed.end;
     const bool unexplained = end == net::exchange_end::lost && !completed.response_started && !reused;
     out = this->classify_exchange(sent, std::move(completed), reused);
     this->update_failure_ratios(out);
+    if (may_be_sent_again(out)) {
+        this->failed_ids.add(id_hash, steady_clock::now());
+    }
     if (out.outcome == attempt_outcome::answered) {
         this->last_response_at = steady_clock::now();
         this->liveness.last_alive_at = this->last_response_at;
