Answer requests read during the grace period before the process ends

Cause: requests are taken for 2.2 s after SIGTERM, with their own deadlines; what lasts beyond the end of the grace time, or waits for a slot until then, was cut. Evidence: shutdown_test, 3 of 4 rows failed before (no answer; five of five with four slots taken), 0 after; the row that finds no endpoint passed before. The deadline of a request read while the process stops now ends 600 ms before SIGKILL, also towards peer and target, so that the target's own time-out, ours or a refusal that is true arrives before the end.

--- a/include/pomeloloft/sidecar/sidecar_state.hpp
+++ b/include/pomeloloft/sidecar/sidecar_state.hpp
@@ -57,6 +57,9 @@
     time_point callers_refused_from = no_deadline;
     /// Time from which requests from other sidecars are refused.
     time_point peers_refused_from = no_deadline;
+    /// Latest deadline of requests read while the process shuts down, so that all have been responded to when
+    /// it ends.
+    time_point serve_until = no_deadline;
     std::unordered_map<std::string, endpoint_load> endpoint_loads;
     std::unordered_map<std::string, endpoint_list> endpoints;
     std::unordered_map<std::string, std::unique_ptr<retry_budget>> retry_budgets;
--- a/src/pomeloloft/sidecar/daemon.cpp
+++ b/src/pomeloloft/sidecar/daemon.cpp
@@ -46,6 +46,8 @@
 constexpr milliseconds departure_propagation_time{500};
 /// Time before SIGKILL at which requests in flight are abandoned.
 constexpr milliseconds kill_margin{400};
+/// Time in which the responses to requests that have reached their deadline are sent.
+constexpr milliseconds final_response_time{200};
 constexpr milliseconds stop_poll{50};
 
 net::client_options peer_pool_options()
@@ -418,6 +420,7 @@
     const time_point killed_at = start_time + this->shared.local_settings.shutdown_grace;
     this->shared.callers_refused_from = start_time + readiness_detection_time;
     this->shared.peers_refused_from = start_time + departure_propagation_time;
+    this->shared.serve_until = killed_at - kill_margin - final_response_time;
     this->publish();
     this->outbound->disable_keep_alive();
     const auto busy = [this] { return this->outbound->active() + this->inbound->active(); };
--- a/src/pomeloloft/sidecar/outbound_router.cpp
+++ b/src/pomeloloft/sidecar/outbound_router.cpp
@@ -218,7 +218,8 @@
     const header_names& names = this->shared.local_settings.headers;
     const milliseconds caller_time_left =
         parse_time_left(received, names.time_left).value_or(context.route->timeout);
-    context.deadline = context.started + std::min(caller_time_left, context.route->timeout);
+    context.deadline = std::min(context.started + std::min(caller_time_left, context.route->timeout),
+                                this->shared.serve_until);
     context.soft_deadline = context.started + context.route->target_latency;
     erase_hop_by_hop_headers(received);
     erase_peer_headers(received);
