Proxy: withhold requests of callers that have left and quarantined ones right before each write

Causes: a thread that reads a request late writes it to the target's proxy before it looks at its caller; a read whose caller had left was of unknown outcome and therefore retried, at up to three targets; the quarantine was asked once, before the first attempt, and not by the proxy beside the target. Not tested on its own: the quarantine at the proxy beside the target. Left: a thread that waits for a slot keeps its place in the queue after its caller has left, and the relay of a response body sees the caller leave only with its next write.

--- a/include/pomeloloft/proxy/exchange.hpp
+++ b/include/pomeloloft/proxy/exchange.hpp
@@ -12,6 +12,7 @@
 #include "pomeloloft/http/connection_pool.hpp"
 #include "pomeloloft/proxy/request.hpp"
 #include "pomeloloft/proxy/response_writer.hpp"
+#include "pomeloloft/traffic/dispatch.hpp"
 
 namespace pomeloloft {
 
@@ -30,6 +31,8 @@
     abandoned,
     /// The caller's body ended before its declared length.
     body_truncated,
+    /// Nothing was sent; see `exchange::verdict`.
+    withheld,
 };
 
 /// A request to send upstream.
@@ -42,6 +45,8 @@
     time_point deadline;
     /// Whether to stop when the caller closes its connection.
     bool watch_caller = true;
+    /// Whether the request is refused because targets crashed while they ran it. Empty if it is not checked.
+    std::function<bool()> is_quarantined;
     /// Called at growing intervals while no response arrives; false ends the wait. Empty to wait until the
     /// deadline.
     std::function<bool()> should_keep_waiting;
@@ -50,6 +55,8 @@
 /// A sent request and the head of its response, or the reason why none arrived.
 struct exchange {
     exchange_outcome outcome = exchange_outcome::unreachable;
+    /// Why the request was withheld, if `outcome` is `withheld`.
+    dispatch_verdict verdict = dispatch_verdict::send;
     std::unique_ptr<client_connection> connection;
     Poco::Net::HTTPResponse response;
     /// Body of the response if `outcome` is `responded`; owned by `connection`.
--- a/include/pomeloloft/proxy/serve.hpp
+++ b/include/pomeloloft/proxy/serve.hpp
@@ -5,6 +5,7 @@
 #include "pomeloloft/proxy/blackboard.hpp"
 #include "pomeloloft/proxy/request.hpp"
 #include "pomeloloft/proxy/response_writer.hpp"
+#include "pomeloloft/traffic/dispatch.hpp"
 
 namespace pomeloloft {
 
@@ -26,8 +27,14 @@
     bool watch_caller = true;
 };
 
+/// Whether a request is refused because targets crashed while they ran it.
+[[nodiscard]] bool is_quarantined(blackboard& board, const request_head& head, const request_body& body);
+
+/// Result of an attempt that was withheld.
+[[nodiscard]] attempt_result result_of(dispatch_verdict withheld);
+
 /// Runs a request on the local target. Nothing is sent to it before the attempt has passed admission and the
-/// fence. `route_request` has checked the quarantine before.
+/// fence, and is neither quarantined nor abandoned by its caller.
 [[nodiscard]] attempt_result serve_on_target(blackboard& board, const request_head& head, request_body& body,
                                              const target_attempt& attempt, response_writer& writer);
 
--- a/src/pomeloloft/proxy/exchange.cpp
+++ b/src/pomeloloft/proxy/exchange.cpp
@@ -163,6 +163,15 @@
     return exchange_outcome::responded;
 }
 
+dispatch_verdict decide_dispatch(const exchange_request& request)
+{
+    dispatch_facts facts;
+    facts.caller_connected = !request.watch_caller || !caller_gone(*request.body->source);
+    facts.quarantined = request.is_quarantined && request.is_quarantined();
+    facts.deadline = request.deadline;
+    return pomeloloft::decide_dispatch(facts, steady_clock::now());
+}
+
 } // namespace
 
 exchange send_request(connection_pool& pool, const exchange_request& request)
@@ -173,6 +182,12 @@
         return ex;
     }
     ex.connection = std::move(acquired.value().connection);
+    ex.verdict = decide_dispatch(request);
+    if (ex.verdict != dispatch_verdict::send) {
+        pool.release(request.address, std::move(ex.connection));
+        ex.outcome = exchange_outcome::withheld;
+        return ex;
+    }
     try {
         ex.outcome = perform_exchange(ex, request);
     } catch (const Poco::Exception&) {
--- a/src/pomeloloft/proxy/route_request.cpp
+++ b/src/pomeloloft/proxy/route_request.cpp
@@ -165,9 +165,13 @@
     if (!head.key.empty()) {
         request.extra_headers.emplace_back(header::key, head.key);
     }
+    request.is_quarantined = [&] { return is_quarantined(board, head, body); };
     request.should_keep_waiting = [&board, &pending] { return should_keep_waiting(board, pending); };
     const in_flight_scope counted(*chosen.load);
     exchange ex = send_request(board.peer_connections, request);
+    if (ex.outcome == exchange_outcome::withheld) {
+        return result_of(ex.verdict);
+    }
     if (ex.outcome != exchange_outcome::responded) {
         return result_without_response(board, pending, ex.outcome);
     }
@@ -246,6 +250,12 @@
     return decided;
 }
 
+/// Whether no further attempt can be made, whatever the retry rules allow.
+bool ends_request(refusal_reason reason)
+{
+    return reason == refusal_reason::caller_gone || reason == refusal_reason::quarantined;
+}
+
 /// Attempts the request at one endpoint after another until one responds or no retry is allowed.
 attempt_result try_endpoints(blackboard& board, const request_head& head, request_body& body,
                              const attempt_context& context, attempt_history& history,
@@ -277,6 +287,9 @@
             tried_nodes.push_back(chosen->node);
         }
         const bool reached = count_attempt(history, last_result.state, unreachable);
+        if (ends_request(last_result.reason)) {
+            return last_result;
+        }
         const retry_inputs inputs{last_result.state,
                                   last_result.reason == refusal_reason::target_crashed,
                                   context.route->rule.idempotent,
@@ -313,14 +326,6 @@
     return "the request ran";
 }
 
-bool is_quarantined_here(blackboard& board, const request_head& head, const request_body& body)
-{
-    if (!board.has_quarantine.load(std::memory_order_relaxed)) {
-        return false;
-    }
-    return board.quarantined.load()->contains(fingerprint_of(head, body));
-}
-
 } // namespace
 
 run_state refuse(blackboard& board, response_writer& writer, run_state state, refusal_reason reason,
@@ -340,7 +345,7 @@
         return refuse(board, writer, run_state::not_run, refusal_reason::no_route,
                       "no route for " + head.method + " " + head.path);
     }
-    if (is_quarantined_here(board, head, body)) {
+    if (is_quarantined(board, head, body)) {
         return refuse(board, writer, run_state::not_run, refusal_reason::quarantined,
                       "targets crashed while they ran this request; it is refused for a time");
     }
--- a/src/pomeloloft/proxy/serve_keyed.cpp
+++ b/src/pomeloloft/proxy/serve_keyed.cpp
@@ -110,7 +110,8 @@
         if (outcome == exchange_outcome::responded) {
             return relay_from_issuer(board, ex, address, head, writer);
         }
-        if (outcome == exchange_outcome::deadline || outcome == exchange_outcome::caller_gone) {
+        if (outcome == exchange_outcome::deadline || outcome == exchange_outcome::caller_gone ||
+            outcome == exchange_outcome::withheld) {
             break;
         }
     }
--- a/src/pomeloloft/proxy/serve_target.cpp
+++ b/src/pomeloloft/proxy/serve_target.cpp
@@ -117,15 +117,16 @@
     request.body = &body;
     request.deadline = head.deadline;
     request.watch_caller = attempt.watch_caller;
+    request.is_quarantined = [&] { return is_quarantined(board, head, body); };
     request.extra_headers = {{header::retried, "1"}};
     if (!head.key.empty()) {
         request.extra_headers.emplace_back(header::key, head.key);
     }
-    ++board.requests.target_runs;
     // The rest of a longer body is read from the caller, whose sending time would be included.
     const bool timed = body.complete;
     const time_point sent_at = steady_clock::now();
     exchange ex = send_request(board.target_connections, request);
+    board.requests.target_runs += ex.outcome == exchange_outcome::withheld ? 0 : 1;
     switch (ex.outcome) {
     case exchange_outcome::responded:
         break;
@@ -145,6 +146,8 @@
         return {run_state::unknown, refusal_reason::caller_gone, false};
     case exchange_outcome::body_truncated:
         return {run_state::unknown, refusal_reason::bad_request, false};
+    case exchange_outcome::withheld:
+        return result_of(ex.verdict);
     }
     if (timed) {
         record_response_time(board, ex.response.getStatus(), steady_clock::now() - sent_at);
@@ -205,6 +208,28 @@
 
 } // namespace
 
+bool is_quarantined(blackboard& board, const request_head& head, const request_body& body)
+{
+    if (!board.has_quarantine.load(std::memory_order_relaxed)) {
+        return false;
+    }
+    return board.quarantined.load()->contains(fingerprint_of(head, body));
+}
+
+attempt_result result_of(dispatch_verdict withheld)
+{
+    switch (withheld) {
+    case dispatch_verdict::caller_gone:
+        return not_run(refusal_reason::caller_gone);
+    case dispatch_verdict::quarantined:
+        return not_run(refusal_reason::quarantined);
+    case dispatch_verdict::expired:
+    case dispatch_verdict::send:
+        break;
+    }
+    return not_run(refusal_reason::deadline);
+}
+
 attempt_result serve_on_target(blackboard& board, const request_head& head, request_body& body,
                                const target_attempt& attempt, response_writer& writer)
 {
