--- a/test/stand_ins/platform_target.cpp
+++ b/test/stand_ins/platform_target.cpp
@@ -180,8 +180,28 @@
                                           [&path](const std::string& head) { return has_path(head, path); }));
 }
 
+std::vector<std::string> platform_target::request_ids(const std::string& path) const
+{
+    std::vector<std::string> out;
+    for (const std::string& head : this->request_heads) {
+        if (has_path(head, path)) {
+            out.push_back(header_value(head, "X-Request-Id"));
+        }
+    }
+    return out;
+}
+
+std::optional<time_point> platform_target::arrived_at(const std::string& request_id) const
+{
+    const auto found = this->arrivals_by_request_id.find(request_id);
+    return found == this->arrivals_by_request_id.end() ? std::nullopt : std::optional(found->second);
+}
+
 void platform_target::crash()
 {
+    if (!this->acceptor.is_open()) {
+        return;
+    }
     ++this->crashes;
     this->acceptor.close();
     for (net::tcp_stream* stream : this->connections) {
@@ -248,6 +268,7 @@
     target_mode current_mode =
         has_path(head, this->poison) ? target_mode::closes_without_response : this->mode;
     this->request_heads.push_back(head);
+    this->arrivals_by_request_id[id] = steady_clock::now();
     if (has_path(head, this->crash_path)) {
         this->crash();
         co_return false;
--- a/test/stand_ins/platform_target.hpp
+++ b/test/stand_ins/platform_target.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -71,6 +72,15 @@
     /// Number of requests being executed.
     [[nodiscard]] int running() const { return this->running_count; }
 
+    /// When a request arrived for the last time; nothing if it did not.
+    [[nodiscard]] std::optional<time_point> arrived_at(const std::string& request_id) const;
+
+    /// Ends the target: closes its listener and all its connections for `downtime`.
+    void crash();
+
+    /// Ids of the requests received with a path.
+    [[nodiscard]] std::vector<std::string> request_ids(const std::string& path) const;
+
     /// Number of request heads received with a path.
     [[nodiscard]] int arrivals(const std::string& path) const;
 
@@ -102,13 +112,13 @@
     static net::task<void> serve_connection(platform_target* self, net::tcp_stream stream);
     static net::task<void> restart_after_downtime(platform_target* self);
     net::task<bool> serve_request(net::tcp_stream& stream, std::string& buffer, std::string& refusal);
-    void crash();
 
     net::event_loop& loop;
     net::tcp_acceptor acceptor;
     net::tcp::endpoint listen_address;
     std::set<net::tcp_stream*> connections;
     std::set<std::string> refused_ids;
+    std::map<std::string, time_point> arrivals_by_request_id;
     std::map<std::string, int> runs_by_request_id;
     int running_count = 0;
 };
