Store a quarantine although an expired one had as many crashes; split the gate's send

Read from the code, not seen: the record was written only when there were more observations than before, so the second quarantine of a node, after the first had expired, was never stored. Now it is written when it holds a crash that the record does not. The unit case a_quarantine_is_stored_although_an_expired_one_had_as_many_crashes tests the decision; it was written with the fix and could not fail before, as the decision was part of the daemon. target_gate::send hands connect failures, withheld requests and responses to functions of their own; nothing else changes.

--- a/include/pomeloloft/sidecar/daemon.hpp
+++ b/include/pomeloloft/sidecar/daemon.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <vector>
 
 #include "pomeloloft/net/server.hpp"
 #include "pomeloloft/sidecar/config_feed.hpp"
@@ -83,8 +84,8 @@
     time_point started_at;
     /// The departed instance recorded in the store, from which a restarted process reads it.
     instance_key persisted_departure;
-    /// Number of observations in this node's record of quarantined requests.
-    std::size_t stored_observations = 0;
+    /// Observations in this node's record of quarantined requests.
+    std::vector<crash_observation> stored_quarantine;
     bool reconnecting = false;
 };
 
--- a/include/pomeloloft/sidecar/gate.hpp
+++ b/include/pomeloloft/sidecar/gate.hpp
@@ -87,6 +87,12 @@
     void set_reachable(bool now_reachable);
     void release_slot();
     net::task<target_call_result> send(net::request& sent, const target_call& call);
+    /// Outcome of an attempt for which no connection could be opened.
+    attempt_outcome handle_connect_failure(const error& failure, time_point deadline);
+    /// Counts a withheld request.
+    /// @return its outcome.
+    attempt_outcome withhold(dispatch_verdict verdict);
+    void record_response(const net::request& sent, time_point started);
     void update_failure_ratios(const target_call_result& call_result);
     [[nodiscard]] target_call_result classify_exchange(const net::request& sent,
                                                        net::exchange_result completed, bool reused) const;
--- a/include/pomeloloft/sidecar/quarantine_record.hpp
+++ b/include/pomeloloft/sidecar/quarantine_record.hpp
@@ -16,6 +16,10 @@
 [[nodiscard]] std::string encode_quarantine(const std::vector<crash_observation>& observations,
                                             std::int64_t now_ms);
 
+/// Whether observations include a crash that is not among those stored.
+[[nodiscard]] bool has_new_crash(const std::vector<crash_observation>& observations,
+                                 const std::vector<crash_observation>& stored);
+
 /// Decodes a record; expired observations are left out. Errors name the field.
 [[nodiscard]] result<std::vector<crash_observation>> decode_quarantine(std::string_view text,
                                                                        std::int64_t now_ms);
--- a/src/pomeloloft/sidecar/daemon.cpp
+++ b/src/pomeloloft/sidecar/daemon.cpp
@@ -403,9 +403,8 @@
 {
     for (;;) {
         co_await net::sleep_for(quarantine_check_interval);
-        const auto quarantined =
-            this->shared.suspects.quarantined_by(this->gate.process, steady_clock::now());
-        if (quarantined.size() <= this->stored_observations) {
+        auto quarantined = this->shared.suspects.quarantined_by(this->gate.process, steady_clock::now());
+        if (!has_new_crash(quarantined, this->stored_quarantine)) {
             continue;
         }
         std::vector<store_record> records;
@@ -414,7 +413,7 @@
         const auto written =
             co_await this->store->put(std::move(records), steady_clock::now() + register_timeout);
         if (written) {
-            this->stored_observations = quarantined.size();
+            this->stored_quarantine = std::move(quarantined);
             continue;
         }
         log_warning("quarantine-not-stored", {{"reason", to_string(written.error())}});
--- a/src/pomeloloft/sidecar/gate.cpp
+++ b/src/pomeloloft/sidecar/gate.cpp
@@ -294,6 +294,40 @@
     co_return out;
 }
 
+attempt_outcome target_gate::handle_connect_failure(const error& failure, time_point deadline)
+{
+    const time_point now = steady_clock::now();
+    if (failure.code == pomeloloft::error_code::cancelled) {
+        return attempt_outcome::cancelled;
+    }
+    if (now - this->last_response_at < recent_response_window) {
+        // The target responds to other requests but accepts no more connections: it is busy, not unreachable.
+        return attempt_outcome::refused;
+    }
+    if (now < deadline) {
+        this->set_reachable(false);
+    }
+    return attempt_outcome::unavailable;
+}
+
+attempt_outcome target_gate::withhold(dispatch_verdict verdict)
+{
+    const attempt_outcome out = outcome_of(verdict);
+    this->counters.withheld_abandoned += out == attempt_outcome::abandoned ? 1 : 0;
+    this->counters.withheld_quarantined += out == attempt_outcome::quarantined ? 1 : 0;
+    return out;
+}
+
+void target_gate::record_response(const net::request& sent, time_point started)
+{
+    const time_point now = steady_clock::now();
+    this->last_response_at = now;
+    this->liveness.last_alive_at = now;
+    this->service_time.add(std::chrono::duration_cast<std::chrono::microseconds>(now - started));
+    this->set_reachable(true);
+    this->clear_suspect(sent, now);
+}
+
 net::task<target_call_result> target_gate::send(net::request& sent, const target_call& call)
 {
     target_call_result out;
@@ -308,25 +342,14 @@
                              : this->pool.acquire(this->address, call.deadline, max_idle);
     auto connected = co_await std::move(connecting);
     if (!connected) {
-        const time_point now = steady_clock::now();
-        if (connected.error().code == pomeloloft::error_code::cancelled) {
-            out.outcome = attempt_outcome::cancelled;
-        } else if (now - this->last_response_at < recent_response_window) {
-            // The target responds to other requests but accepts no more connections: it is busy, not
-            // unreachable.
-            out.outcome = attempt_outcome::refused;
-        } else if (now < call.deadline) {
-            this->set_reachable(false);
-        }
+        out.outcome = this->handle_connect_failure(connected.error(), call.deadline);
         co_return out;
     }
     net::connection_ptr target_connection = std::move(connected.value());
     const dispatch_verdict verdict = decide_dispatch(sent, call, this->suspects);
     if (verdict != dispatch_verdict::send) {
         this->pool.release(this->address, std::move(target_connection));
-        out.outcome = outcome_of(verdict);
-        this->counters.withheld_abandoned += out.outcome == attempt_outcome::abandoned ? 1 : 0;
-        this->counters.withheld_quarantined += out.outcome == attempt_outcome::quarantined ? 1 : 0;
+        out.outcome = this->withhold(verdict);
         co_return out;
     }
     const header_names& names = this->local_settings.headers;
@@ -342,8 +365,6 @@
         const in_progress_scope counted(this->exchanges_in_progress, started);
         completed = co_await net::exchange(*target_connection, sent, options);
     }
-    const auto slot_time =
-        std::chrono::duration_cast<std::chrono::microseconds>(steady_clock::now() - started);
     if (completed.reusable && !id.empty()) {
         this->pool.release(this->address, std::move(target_connection));
     }
@@ -355,11 +376,7 @@
         this->failed_ids.add(id_hash, steady_clock::now());
     }
     if (out.outcome == attempt_outcome::answered) {
-        this->last_response_at = steady_clock::now();
-        this->liveness.last_alive_at = this->last_response_at;
-        this->service_time.add(slot_time);
-        this->set_reachable(true);
-        this->clear_suspect(sent, this->last_response_at);
+        this->record_response(sent, started);
     } else if (unexplained) {
         // A target that accepts a connection and ends it without a byte counts as crashed even if it still
         // runs; on a reused connection it may only have closed an idle connection.
--- a/src/pomeloloft/sidecar/quarantine_record.cpp
+++ b/src/pomeloloft/sidecar/quarantine_record.cpp
@@ -5,12 +5,9 @@
 #include <nlohmann/json.hpp>
 
 namespace pomeloloft::sidecar {
-namespace {
 
 using nlohmann::json;
 
-} // namespace
-
 std::string encode_quarantine(const std::vector<crash_observation>& observations, std::int64_t now_ms)
 {
     json crashes = json::array();
@@ -22,6 +19,16 @@
     return json{{"crashes", std::move(crashes)}}.dump();
 }
 
+bool has_new_crash(const std::vector<crash_observation>& observations,
+                   const std::vector<crash_observation>& stored)
+{
+    return std::any_of(observations.begin(), observations.end(), [&stored](const crash_observation& o) {
+        return std::none_of(stored.begin(), stored.end(), [&o](const crash_observation& known) {
+            return known.fingerprint == o.fingerprint && known.crash == o.crash;
+        });
+    });
+}
+
 result<std::vector<crash_observation>> decode_quarantine(std::string_view text, std::int64_t now_ms)
 {
     const json parsed = json::parse(text, nullptr, false);
--- a/src/pomeloloft/sidecar/suspects_test.cpp
+++ b/src/pomeloloft/sidecar/suspects_test.cpp
@@ -1,4 +1,5 @@
 #include <string>
+#include <vector>
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -178,6 +179,15 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_quarantine_is_stored_although_an_expired_one_had_as_many_crashes)
+{
+    const std::vector<crash_observation> stored{{crashing_request, "n1#5.1"}, {crashing_request, "n2#6.1"}};
+    BOOST_TEST(!has_new_crash({}, stored));
+    BOOST_TEST(!has_new_crash({stored[1]}, stored));
+    BOOST_TEST(has_new_crash({{crashing_request, "n1#5.2"}, {crashing_request, "n2#6.2"}}, stored));
+    BOOST_TEST(has_new_crash({{answered_request, "n1#5.1"}}, stored));
+}
+
 BOOST_DATA_TEST_CASE(a_busy_target_is_told_from_one_that_has_ended,
                      boost::unit_test::data::make(evidence_rows), row)
 {
