--- a/test/stand_ins/platform_target.cpp
+++ b/test/stand_ins/platform_target.cpp
@@ -249,13 +249,13 @@
 net::task<bool> platform_target::serve_request(net::tcp_stream& stream, std::string& buffer,
                                                std::string& refusal)
 {
-    const auto [ec, head_bytes] = co_await net::asio::async_read_until(
+    const auto [ec, head_size] = co_await net::asio::async_read_until(
         stream.socket(), net::asio::dynamic_buffer(buffer), "\r\n\r\n", net::use_task);
     if (ec) {
         co_return false;
     }
-    const std::string head = buffer.substr(0, head_bytes);
-    buffer.erase(0, head_bytes);
+    const std::string head = buffer.substr(0, head_size);
+    buffer.erase(0, head_size);
     if (head.starts_with("GET /health ")) {
         const std::string health = std::string("HTTP/1.1 ") + (this->healthy ? "200 OK" : "503 No") +
                                    "\r\nX-Instance-Id: " + this->instance + "\r\nContent-Length: 0\r\n\r\n";
