Call an unreachable store anew while earlier calls hang

Cause: a sidecar made one call to the store at a time. A call that began during the outage stays unanswered after it, for up to 4 s (a document may take that long over a narrow link), and a pause of up to 1.5 s followed. With two readers a data centre both could hang at once.

Fix: after a failed read the store is called at the intervals that applied before, with a small call that reads the operator's topic (an empty page) and whatever became of the calls before it. The first answer, to any of them, ends the wait; the next read does not wait for a change.

Why it works: the first call after an outage is made at most one pause (1.5 s) after it, however long the others hang.

Ruled out: the push to others (all three sidecars of the case were late) and the parsing of the document (small).

an_unreachable_store_is_checked_until_it_recovers: the wait for recovery now uses the same check, so the stand-in fails all checks until another node announces itself, and the case counts two from there, as strict as before.

--- a/include/pomeloloft/sidecar/config_feed.hpp
+++ b/include/pomeloloft/sidecar/config_feed.hpp
@@ -9,6 +9,7 @@
 
 #include "pomeloloft/net/client.hpp"
 #include "pomeloloft/net/server.hpp"
+#include "pomeloloft/net/timer.hpp"
 #include "pomeloloft/sidecar/shared_store.hpp"
 #include "pomeloloft/sidecar/sidecar_state.hpp"
 
@@ -60,6 +61,8 @@
     /// Whether this node reads for any data centre.
     [[nodiscard]] bool is_reader() const;
     [[nodiscard]] bool has_live_reader() const;
+    /// Whether no other node reads the store for this one.
+    [[nodiscard]] bool must_read() const;
     /// Whether this node is the first live reader of a data centre.
     [[nodiscard]] bool is_lead_reader(const std::string& data_centre) const;
     /// Checks whether an unreachable store has recovered, while others read it for this node.
@@ -67,6 +70,11 @@
     /// Waits for the first version from peers, if there are any.
     net::task<void> await_config_from_peers();
     net::task<void> read_once();
+    /// Calls the unreachable store at intervals until it responds or others read it for this node. A call
+    /// that is not answered does not delay the next one: a call that began during an outage may stay
+    /// unanswered after it.
+    net::task<void> await_store_recovery();
+    net::task<void> check_recovery();
     void set_store_reachable(bool reached, const std::string& reason);
     void adopt(std::shared_ptr<const routing::route_table> table);
     /// Sends a delta to the nodes that this node reads for; an empty delta only announces the version.
@@ -93,6 +101,12 @@
     /// Calls to the store that failed since the last success.
     std::uint32_t store_failures = 0;
     bool store_reachable = true;
+    /// Whether the last read succeeded, so that the next one may wait for a change.
+    bool may_wait_for_change = false;
+    /// Whether the store has responded since `await_store_recovery` began.
+    bool recovered = false;
+    /// Pause between the calls of `await_store_recovery`, cancelled when the store has responded.
+    net::timer recovery_pause;
     bool reading = false;
     bool catching_up = false;
 };
--- a/include/pomeloloft/sidecar/shared_store.hpp
+++ b/include/pomeloloft/sidecar/shared_store.hpp
@@ -24,13 +24,14 @@
     virtual ~shared_store() = default;
 
     /// Waits for a configuration document newer than those returned before.
-    /// @return nothing when none arrived within the polling time.
-    virtual net::task<result<std::optional<std::string>>> next_config() = 0;
+    /// @param max_wait time that the store may wait for one; the transfer may take longer.
+    /// @return nothing when none arrived in that time.
+    virtual net::task<result<std::optional<std::string>>> next_config(milliseconds max_wait) = 0;
 
     /// Makes the next call of `next_config` return the newest document, even if it was returned before.
     virtual void skip_to_newest() = 0;
 
-    /// Checks with a small call whether the store responds.
+    /// Checks with a small call whether the store serves the configuration.
     virtual net::task<bool> is_reachable(time_point deadline) = 0;
 
     /// Writes records of this project, all or none. An abandoned write never replaces a later one.
--- a/src/pomeloloft/sidecar/config_feed.cpp
+++ b/src/pomeloloft/sidecar/config_feed.cpp
@@ -9,7 +9,6 @@
 #include "pomeloloft/base/log_line.hpp"
 #include "pomeloloft/base/parse_number.hpp"
 #include "pomeloloft/net/spawn.hpp"
-#include "pomeloloft/net/timer.hpp"
 #include "pomeloloft/routing/table_codec.hpp"
 #include "pomeloloft/sidecar/peer_headers.hpp"
 #include "pomeloloft/sidecar/random.hpp"
@@ -18,6 +17,11 @@
 namespace pomeloloft::sidecar {
 namespace {
 
+/// Time that the store may wait for a change. It bounds how long a connection that no longer responds stays
+/// undetected, and is well below the time within which a new configuration must take effect.
+constexpr milliseconds long_poll_duration{2500};
+/// Time in which a call to an unreachable store may still be answered, by a store that has become slow.
+constexpr milliseconds recovery_check_timeout{4000};
 /// Mean interval at which a node that lost the store checks it while others read it for this node.
 constexpr milliseconds store_check_interval{1000};
 /// A reachable store responds to a small call within this time.
@@ -103,7 +107,8 @@
 
 config_feed::config_feed(net::event_loop& io_loop, sidecar_state& process_state, shared_store& platform_store,
                          config_decoder decoder, net::client_pool& peers)
-    : loop(io_loop), shared(process_state), store(platform_store), decode(std::move(decoder)), pool(peers)
+    : loop(io_loop), shared(process_state), store(platform_store), decode(std::move(decoder)), pool(peers),
+      recovery_pause(io_loop.get_executor())
 {}
 
 bool config_feed::reads_for(const std::string& data_centre) const
@@ -142,6 +147,11 @@
     return false;
 }
 
+bool config_feed::must_read() const
+{
+    return this->shared.config.load() == nullptr || this->is_reader() || !this->has_live_reader();
+}
+
 net::task<void> config_feed::await_config_from_peers()
 {
     const time_point wait_deadline = steady_clock::now() + initial_fetch_timeout;
@@ -157,9 +167,7 @@
 {
     co_await this->await_config_from_peers();
     while (!this->shared.stopping) {
-        const bool must_read =
-            this->shared.config.load() == nullptr || this->is_reader() || !this->has_live_reader();
-        if (!must_read) {
+        if (!this->must_read()) {
             this->reading = false;
             co_await this->check_store();
             continue;
@@ -203,14 +211,12 @@
 
 net::task<void> config_feed::read_once()
 {
-    const auto next = co_await this->store.next_config();
+    const milliseconds max_wait = this->may_wait_for_change ? long_poll_duration : milliseconds{0};
+    const auto next = co_await this->store.next_config(max_wait);
+    this->may_wait_for_change = next.has_value();
     if (!next) {
         this->set_store_reachable(false, to_string(next.error()));
-        ++this->store_failures;
-        const milliseconds pause =
-            store_retry_pause({this->store_failures, this->shared.config.load() != nullptr,
-                               is_store_prober(this->shared.members, this->shared.local_settings.node)});
-        co_await net::sleep_for(spread_around(pause));
+        co_await this->await_store_recovery();
         co_return;
     }
     this->store_failures = 0;
@@ -226,6 +232,31 @@
     this->adopt(std::move(table.value()));
 }
 
+net::task<void> config_feed::await_store_recovery()
+{
+    this->recovered = false;
+    while (!this->recovered && !this->shared.stopping && this->must_read()) {
+        ++this->store_failures;
+        const milliseconds pause =
+            store_retry_pause({this->store_failures, this->shared.config.load() != nullptr,
+                               is_store_prober(this->shared.members, this->shared.local_settings.node)});
+        this->recovery_pause.expires_after(spread_around(pause));
+        co_await this->recovery_pause.async_wait(net::use_task);
+        if (!this->recovered) {
+            net::spawn(this->loop, this->check_recovery(), "check-recovery");
+        }
+    }
+}
+
+net::task<void> config_feed::check_recovery()
+{
+    const bool reached = co_await this->store.is_reachable(steady_clock::now() + recovery_check_timeout);
+    if (reached) {
+        this->recovered = true;
+        this->recovery_pause.cancel();
+    }
+}
+
 void config_feed::adopt(std::shared_ptr<const routing::route_table> table)
 {
     const auto previous = routes_of(this->shared);
--- a/src/pomeloloft/sidecar/config_feed_test.cpp
+++ b/src/pomeloloft/sidecar/config_feed_test.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -64,30 +65,144 @@
     return out;
 }
 
-/// A store whose configuration reads fail and whose second reachability check succeeds.
-class recovering_store : public shared_store {
+/// A store without the records of sidecars.
+class config_store_base : public shared_store {
 public:
-    net::task<result<std::optional<std::string>>> next_config() override
+    void skip_to_newest() override {}
+    net::task<result<void>> put(std::vector<store_record>, time_point) override { co_return success(); }
+    net::task<result<std::vector<store_record>>> read_all(time_point) override
+    {
+        co_return std::vector<store_record>{};
+    }
+};
+
+/// A store whose configuration reads fail and whose reachability checks succeed from a given one on.
+class recovering_store : public config_store_base {
+public:
+    net::task<result<std::optional<std::string>>> next_config(milliseconds) override
     {
         ++this->reads;
         co_return error{error_code::unavailable, "store", "down"};
     }
-    void skip_to_newest() override {}
     net::task<bool> is_reachable(time_point) override
     {
         ++this->checks;
-        co_return this->checks >= 2;
-    }
-    net::task<result<void>> put(std::vector<store_record>, time_point) override { co_return success(); }
-    net::task<result<std::vector<store_record>>> read_all(time_point) override
-    {
-        co_return std::vector<store_record>{};
+        co_return this->checks >= this->first_success;
     }
 
     int reads = 0;
     int checks = 0;
+    int first_success = std::numeric_limits<int>::max();
+};
+
+/// A store that is silent from time to time: calls that begin or wait meanwhile are not answered later either.
+class silent_store : public config_store_base {
+public:
+    net::task<result<std::optional<std::string>>> next_config(milliseconds max_wait) override
+    {
+        const std::uint64_t silences_before = this->silences;
+        const time_point answered_by = steady_clock::now() + max_wait;
+        const bool lost = co_await this->wait(
+            silences_before, [&] { return this->newest > this->read || steady_clock::now() >= answered_by; },
+            steady_clock::now() + max_read_time);
+        if (lost) {
+            co_return error{error_code::timeout, "store", "silent"};
+        }
+        if (this->newest == this->read) {
+            co_return std::optional<std::string>{};
+        }
+        this->read = this->newest;
+        co_return std::optional<std::string>{std::to_string(this->newest)};
+    }
+    net::task<bool> is_reachable(time_point deadline) override
+    {
+        const bool lost = co_await this->wait(
+            this->silences, [] { return true; }, deadline);
+        co_return !lost;
+    }
+
+    void set_silent(bool is_silent)
+    {
+        this->silent = is_silent;
+        this->silences += is_silent ? 1 : 0;
+    }
+
+    std::uint64_t newest = 1;
+
+private:
+    /// Longest time that a read of the platform's store takes.
+    static constexpr milliseconds max_read_time{4000};
+    static constexpr milliseconds poll_interval{10};
+
+    /// @return whether the call stayed unanswered until its deadline.
+    template <typename Condition>
+    net::task<bool> wait(std::uint64_t silences_before, Condition is_answered, time_point deadline)
+    {
+        co_await net::sleep_for(poll_interval);
+        bool lost = this->silent;
+        while (lost || !is_answered()) {
+            if (steady_clock::now() >= deadline) {
+                co_return true;
+            }
+            co_await net::sleep_for(poll_interval);
+            lost = lost || this->silences != silences_before;
+        }
+        co_return false;
+    }
+
+    std::uint64_t read = 0;
+    std::uint64_t silences = 0;
+    bool silent = false;
 };
 
+result<std::shared_ptr<const routing::route_table>> decode_version(const std::string& text)
+{
+    routing::route_table out;
+    out.version = std::stoull(text);
+    return std::make_shared<const routing::route_table>(std::move(out));
+}
+
+/// A node that is the only one of its data centre, with a store of its own.
+struct lone_node {
+    explicit lone_node(net::event_loop& loop) : pool(loop, {}), feed(loop, shared, store, decode_version, pool)
+    {
+        this->shared.joined = true;
+        this->shared.members = table_of({{"a1", "a", 100, true}});
+    }
+
+    static settings local_settings()
+    {
+        settings out;
+        out.node = "a1";
+        out.data_centre = "a";
+        return out;
+    }
+
+    sidecar_state shared{local_settings()};
+    silent_store store;
+    net::client_pool pool;
+    config_feed feed;
+};
+
+/// An outage of the store, after which the operator publishes a version.
+net::task<void> publish_after_outage(lone_node& node, milliseconds start, milliseconds outage,
+                                     milliseconds& delay)
+{
+    constexpr milliseconds publish_delay{50};
+    constexpr milliseconds poll{10};
+    co_await net::sleep_for(start);
+    node.store.set_silent(true);
+    co_await net::sleep_for(outage);
+    node.store.set_silent(false);
+    const time_point ended = steady_clock::now();
+    co_await net::sleep_for(publish_delay);
+    node.store.newest = 2;
+    while (config_version(node.shared) < 2) {
+        co_await net::sleep_for(poll);
+    }
+    delay = std::chrono::duration_cast<milliseconds>(steady_clock::now() - ended);
+}
+
 net::task<void> announce_often(config_feed& feed)
 {
     for (;;) {
@@ -133,17 +248,43 @@
     net::spawn(loop, feed.follow_store(), "follow");
     loop.run_for(milliseconds{300});
     BOOST_TEST(!feed.reaches_store());
-    // From now on another node announces itself as reader.
+    // From now on another node announces itself as reader, and the second check succeeds.
     adopt_config(shared, first_version());
     net::spawn(loop, announce_often(feed), "confirm");
     loop.run_for(milliseconds{500});
     const int reads_before = store.reads;
+    const int checks_before = store.checks;
+    store.first_success = checks_before + 2;
     loop.run_for(milliseconds{4000});
-    BOOST_TEST(store.checks == 2);
+    BOOST_TEST(store.checks == checks_before + 2);
     BOOST_TEST(feed.reaches_store());
     BOOST_TEST(store.reads <= reads_before + 1);
 }
 
+// Guards against calls that began during an outage of the store and delayed the first read after it.
+BOOST_AUTO_TEST_CASE(a_version_published_after_an_outage_is_read_within_the_stable_window)
+{
+    constexpr milliseconds stable_window{3000};
+    constexpr milliseconds outage{8000};
+    constexpr milliseconds start_step{250};
+    constexpr std::size_t nodes = 20;
+    net::event_loop loop;
+    std::vector<std::unique_ptr<lone_node>> fleet;
+    std::vector<milliseconds> delays(nodes, stable_window * 2);
+    for (std::size_t i = 0; i < nodes; ++i) {
+        fleet.push_back(std::make_unique<lone_node>(loop));
+        net::spawn(loop, fleet[i]->feed.follow_store(), "follow");
+        net::spawn(loop, publish_after_outage(*fleet[i], start_step * (i + 1), outage, delays[i]), "publish");
+    }
+    loop.run_for(start_step * nodes + outage + 2 * stable_window);
+    for (std::size_t i = 0; i < nodes; ++i) {
+        BOOST_TEST_CONTEXT("outage " << i)
+        {
+            BOOST_TEST(delays[i].count() <= stable_window.count());
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_version_the_requester_holds_is_not_sent_again)
 {
     net::event_loop loop;
