Notice within 1.3 s that a reader has lost the store

Cause: two nodes of a data centre read the configuration for all. A reader that is cut off without a reset noticed it when its long poll ended, up to 3.2 s later, and went on announcing that it reads until then. Its announcements kept the others from reading the store themselves. An ordinary change ends the long polls of both readers at once, so that both begin shortly before the cut.

Fix: - While a read waits for a change, the store is pinged every 0.4 s with the call that it prices lowest: staying a member of a consumer group, a tenth of a call. Without an answer within 0.4 s the configuration is asked for once more (0.5 s), on another connection; if that fails too, the node tells the others that it does not reach the store, and they take over. - When the store answers although a read does not, the read is begun anew: its connection may be lost, or the call began in a short outage. This holds for reads that need not wait, too, after 1 s, which doubles, as a document takes seconds over a narrow link. - A reader that is not the lead announces a new version at once, not with its next regular announcement: the node that takes over is not the lead while the lost one still counts as alive.

Why it works: 0.4 + 0.4 + 0.5 s to notice, 0.1 s for the next node to begin, and 0.2 s until the others fetch, is below the 2 s in which a version must be in force.

The unit case cuts off both readers 0.5 s after a change: without the supervision (a trial) both other nodes were late, now none.

Ruled out: shorter long polls, which would do it too, at 2.5 to 3 times the calls of a reader.

--- a/include/pomeloloft/sidecar/config_feed.hpp
+++ b/include/pomeloloft/sidecar/config_feed.hpp
@@ -70,6 +70,9 @@
     /// Waits for the first version from peers, if there are any.
     net::task<void> await_config_from_peers();
     net::task<void> read_once();
+    /// Runs beside a read. Returns when the store responds although the read's connection may be lost, so
+    /// that the read is better begun anew.
+    net::task<void> supervise_read(milliseconds max_wait);
     /// Calls the unreachable store at intervals until it responds or others read it for this node. A call
     /// that is not answered does not delay the next one: a call that began during an outage may stay
     /// unanswered after it.
@@ -77,7 +80,8 @@
     net::task<void> check_recovery();
     void set_store_reachable(bool reached, const std::string& reason);
     void adopt(std::shared_ptr<const routing::route_table> table);
-    /// Sends a delta to the nodes that this node reads for; an empty delta only announces the version.
+    /// Sends a delta to the nodes that this node reads for. An empty delta only announces the version, as any
+    /// delta does from a reader that is not the lead.
     void push(const std::string& delta);
     void push_to(const std::string& data_centre, const std::string& delta);
     /// A request on the configuration path that states the version this node holds.
@@ -103,6 +107,8 @@
     bool store_reachable = true;
     /// Whether the last read succeeded, so that the next one may wait for a change.
     bool may_wait_for_change = false;
+    /// Reads without waiting that were abandoned since the last success.
+    std::uint32_t abandoned_reads = 0;
     /// Whether the store has responded since `await_store_recovery` began.
     bool recovered = false;
     /// Pause between the calls of `await_store_recovery`, cancelled when the store has responded.
--- a/include/pomeloloft/sidecar/shared_store.hpp
+++ b/include/pomeloloft/sidecar/shared_store.hpp
@@ -34,6 +34,9 @@
     /// Checks with a small call whether the store serves the configuration.
     virtual net::task<bool> is_reachable(time_point deadline) = 0;
 
+    /// Checks with the cheapest call whether the store responds at all; for checks at short intervals.
+    virtual net::task<bool> ping(time_point deadline) = 0;
+
     /// Writes records of this project, all or none. An abandoned write never replaces a later one.
     virtual net::task<result<void>> put(std::vector<store_record> records, time_point deadline) = 0;
 
--- a/src/pomeloloft/sidecar/config_feed.cpp
+++ b/src/pomeloloft/sidecar/config_feed.cpp
@@ -6,6 +6,8 @@
 #include <tuple>
 #include <utility>
 
+#include <boost/asio/experimental/awaitable_operators.hpp>
+
 #include "pomeloloft/base/log_line.hpp"
 #include "pomeloloft/base/parse_number.hpp"
 #include "pomeloloft/net/spawn.hpp"
@@ -17,9 +19,17 @@
 namespace pomeloloft::sidecar {
 namespace {
 
-/// Time that the store may wait for a change. It bounds how long a connection that no longer responds stays
-/// undetected, and is well below the time within which a new configuration must take effect.
+/// Time that the store may wait for a change.
 constexpr milliseconds long_poll_duration{2500};
+/// Interval at which a node that waits for a change checks that the store responds, and the time in which it
+/// responds. With `store_check_timeout` they bound how long a reader that has lost the store keeps others
+/// from reading it.
+constexpr milliseconds ping_interval{400};
+constexpr milliseconds ping_timeout{400};
+/// Time after which a read that need not wait is checked. It doubles with each read that was abandoned, as
+/// the transfer of a document takes seconds on a narrow link.
+constexpr milliseconds read_patience{1000};
+constexpr std::uint32_t max_patience_doublings = 2;
 /// Time in which a call to an unreachable store may still be answered, by a store that has become slow.
 constexpr milliseconds recovery_check_timeout{4000};
 /// Mean interval at which a node that lost the store checks it while others read it for this node.
@@ -212,13 +222,28 @@
 net::task<void> config_feed::read_once()
 {
     const milliseconds max_wait = this->may_wait_for_change ? long_poll_duration : milliseconds{0};
-    const auto next = co_await this->store.next_config(max_wait);
-    this->may_wait_for_change = next.has_value();
-    if (!next) {
-        this->set_store_reachable(false, to_string(next.error()));
+    using namespace net::asio::experimental::awaitable_operators;
+    std::optional<result<std::optional<std::string>>> received;
+    bool abandoned = false;
+    const auto read = [&]() -> net::task<void> { received = co_await this->store.next_config(max_wait); };
+    const auto supervise = [&]() -> net::task<void> {
+        co_await this->supervise_read(max_wait);
+        abandoned = true;
+    };
+    co_await (read() || supervise());
+    this->may_wait_for_change = received && received->has_value();
+    if (!this->may_wait_for_change) {
+        if (abandoned) {
+            this->abandoned_reads += max_wait.count() == 0 ? 1 : 0;
+            log_info("store-read-abandoned", {{"waited_for_change", max_wait.count() > 0 ? "yes" : "no"}});
+            co_return;
+        }
+        this->set_store_reachable(false, received ? to_string(received->error()) : "cancelled");
         co_await this->await_store_recovery();
         co_return;
     }
+    const auto& next = *received;
+    this->abandoned_reads = 0;
     this->store_failures = 0;
     this->set_store_reachable(true, {});
     if (!next.value()) {
@@ -232,6 +257,25 @@
     this->adopt(std::move(table.value()));
 }
 
+net::task<void> config_feed::supervise_read(milliseconds max_wait)
+{
+    if (max_wait.count() == 0) {
+        const std::uint32_t doublings = std::min(this->abandoned_reads, max_patience_doublings);
+        co_await net::sleep_for(read_patience * (1U << doublings));
+    } else {
+        bool responds = true;
+        while (responds) {
+            co_await net::sleep_for(ping_interval);
+            responds = co_await this->store.ping(steady_clock::now() + ping_timeout);
+        }
+    }
+    const bool reached = co_await this->store.is_reachable(steady_clock::now() + store_check_timeout);
+    if (!reached) {
+        this->set_store_reachable(false, "no response while a read is in progress");
+        co_await this->await_store_recovery();
+    }
+}
+
 net::task<void> config_feed::await_store_recovery()
 {
     this->recovered = false;
@@ -283,10 +327,11 @@
 void config_feed::push(const std::string& delta)
 {
     for (const std::string& data_centre : data_centres_of(this->shared.members)) {
-        // One reader sends a delta; both readers announce the version.
-        const bool sends = delta.empty() ? this->reads_for(data_centre) : this->is_lead_reader(data_centre);
-        if (sends) {
+        // One reader sends a delta. The other announces the version at once, as the lead may not have it.
+        if (!delta.empty() && this->is_lead_reader(data_centre)) {
             this->push_to(data_centre, delta);
+        } else if (this->reads_for(data_centre)) {
+            this->push_to(data_centre, {});
         }
     }
 }
--- a/src/pomeloloft/sidecar/config_feed_test.cpp
+++ b/src/pomeloloft/sidecar/config_feed_test.cpp
@@ -68,12 +68,17 @@
 /// A store without the records of sidecars.
 class config_store_base : public shared_store {
 public:
-    void skip_to_newest() override {}
+    void skip_to_newest() override { this->read = 0; }
+    net::task<bool> ping(time_point deadline) override { return this->is_reachable(deadline); }
     net::task<result<void>> put(std::vector<store_record>, time_point) override { co_return success(); }
     net::task<result<std::vector<store_record>>> read_all(time_point) override
     {
         co_return std::vector<store_record>{};
     }
+
+protected:
+    /// The version returned last; 0 for none.
+    std::uint64_t read = 0;
 };
 
 /// A store whose configuration reads fail and whose reachability checks succeed from a given one on.
@@ -95,9 +100,13 @@
     int first_success = std::numeric_limits<int>::max();
 };
 
-/// A store that is silent from time to time: calls that begin or wait meanwhile are not answered later either.
+/// A store that is silent from time to time: calls that begin or wait meanwhile are not answered later
+/// either.
 class silent_store : public config_store_base {
 public:
+    /// @param newest_version the version that the operator published last.
+    explicit silent_store(const std::uint64_t& newest_version) : newest(newest_version) {}
+
     net::task<result<std::optional<std::string>>> next_config(milliseconds max_wait) override
     {
         const std::uint64_t silences_before = this->silences;
@@ -127,8 +136,6 @@
         this->silences += is_silent ? 1 : 0;
     }
 
-    std::uint64_t newest = 1;
-
 private:
     /// Longest time that a read of the platform's store takes.
     static constexpr milliseconds max_read_time{4000};
@@ -150,7 +157,7 @@
         co_return false;
     }
 
-    std::uint64_t read = 0;
+    const std::uint64_t& newest;
     std::uint64_t silences = 0;
     bool silent = false;
 };
@@ -162,42 +169,118 @@
     return std::make_shared<const routing::route_table>(std::move(out));
 }
 
-/// A node that is the only one of its data centre, with a store of its own.
-struct lone_node {
-    explicit lone_node(net::event_loop& loop) : pool(loop, {}), feed(loop, shared, store, decode_version, pool)
+/// A node of data centre `a`, with a connection of its own to the store.
+struct feed_node {
+    feed_node(net::event_loop& loop, const std::string& name, const std::uint64_t& newest_version)
+        : shared{settings_of(name)}, store(newest_version), pool(loop, {}),
+          feed(loop, shared, store, decode_version, pool)
     {
         this->shared.joined = true;
-        this->shared.members = table_of({{"a1", "a", 100, true}});
     }
 
-    static settings local_settings()
+    static settings settings_of(const std::string& name)
     {
         settings out;
-        out.node = "a1";
+        out.node = name;
         out.data_centre = "a";
         return out;
     }
 
-    sidecar_state shared{local_settings()};
+    sidecar_state shared;
     silent_store store;
     net::client_pool pool;
     config_feed feed;
+    std::shared_ptr<net::server> listener;
+};
+
+/// A node that is the only one of its data centre.
+struct lone_node {
+    explicit lone_node(net::event_loop& loop) : node(loop, "a1", this->newest)
+    {
+        this->node.shared.members = table_of({{"a1", "a", 100, true}});
+    }
+
+    std::uint64_t newest = 1;
+    feed_node node;
+};
+
+/// Nodes of one data centre that send each other configurations and know at once which of them reach the
+/// store.
+class feed_fleet {
+public:
+    feed_fleet(net::event_loop& loop, std::size_t size)
+    {
+        for (std::size_t i = 0; i < size; ++i) {
+            auto added = std::make_unique<feed_node>(loop, "a" + std::to_string(i + 1), this->newest);
+            feed_node& node = *added;
+            auto listener = net::server::start(loop, "127.0.0.1:0", "peer",
+                                               [&node](net::request& received) -> net::task<net::reply> {
+                                                   co_return node.feed.handle(received);
+                                               });
+            BOOST_REQUIRE(listener);
+            node.listener = listener.value();
+            node.feed.on_store_reachability = [this] { this->share_members(); };
+            this->nodes.push_back(std::move(added));
+        }
+        this->share_members();
+        for (const auto& node : this->nodes) {
+            net::spawn(loop, node->feed.follow_store(), "follow");
+            net::spawn(loop, node->feed.announce_version(), "announce");
+        }
+    }
+
+    /// Indexes of the nodes that read the store.
+    [[nodiscard]] std::vector<std::size_t> readers() const
+    {
+        const auto names = config_readers(this->nodes.front()->shared.members, "a");
+        std::vector<std::size_t> out;
+        for (std::size_t i = 0; i < this->nodes.size(); ++i) {
+            if (std::find(names.begin(), names.end(), this->nodes[i]->shared.local_settings.node) !=
+                names.end()) {
+                out.push_back(i);
+            }
+        }
+        return out;
+    }
+
+    std::uint64_t newest = 1;
+    std::vector<std::unique_ptr<feed_node>> nodes;
+
+private:
+    void share_members()
+    {
+        ++this->sequence;
+        for (const auto& known : this->nodes) {
+            member m;
+            m.node = known->shared.local_settings.node;
+            m.data_centre = "a";
+            m.link_mbps = 100;
+            m.sequence = this->sequence;
+            m.peer_address = "127.0.0.1:" + std::to_string(known->listener->port());
+            m.reaches_store = known->feed.reaches_store();
+            for (const auto& node : this->nodes) {
+                merge(node->shared.members, m, 0, steady_clock::now());
+            }
+        }
+    }
+
+    std::uint64_t sequence = 0;
 };
 
 /// An outage of the store, after which the operator publishes a version.
-net::task<void> publish_after_outage(lone_node& node, milliseconds start, milliseconds outage,
+net::task<void> publish_after_outage(lone_node& alone, milliseconds start, milliseconds outage,
                                      milliseconds& delay)
 {
     constexpr milliseconds publish_delay{50};
     constexpr milliseconds poll{10};
     co_await net::sleep_for(start);
-    node.store.set_silent(true);
+    alone.node.store.set_silent(true);
     co_await net::sleep_for(outage);
-    node.store.set_silent(false);
+    alone.node.store.set_silent(false);
     const time_point ended = steady_clock::now();
     co_await net::sleep_for(publish_delay);
-    node.store.newest = 2;
-    while (config_version(node.shared) < 2) {
+    alone.newest = 2;
+    while (config_version(alone.node.shared) < 2) {
         co_await net::sleep_for(poll);
     }
     delay = std::chrono::duration_cast<milliseconds>(steady_clock::now() - ended);
@@ -273,7 +356,7 @@
     std::vector<milliseconds> delays(nodes, stable_window * 2);
     for (std::size_t i = 0; i < nodes; ++i) {
         fleet.push_back(std::make_unique<lone_node>(loop));
-        net::spawn(loop, fleet[i]->feed.follow_store(), "follow");
+        net::spawn(loop, fleet[i]->node.feed.follow_store(), "follow");
         net::spawn(loop, publish_after_outage(*fleet[i], start_step * (i + 1), outage, delays[i]), "publish");
     }
     loop.run_for(start_step * nodes + outage + 2 * stable_window);
@@ -285,6 +368,34 @@
     }
 }
 
+// Guards against readers that were cut off from the store and, until they noticed, kept the other nodes from
+// reading it.
+BOOST_AUTO_TEST_CASE(a_version_is_in_force_in_time_while_both_readers_are_cut_off)
+{
+    constexpr milliseconds config_apply{2000};
+    constexpr milliseconds change_to_cut{500};
+    constexpr milliseconds cut_to_change{50};
+    net::event_loop loop;
+    feed_fleet fleet(loop, 4);
+    loop.run_for(milliseconds{1500});
+    // The change ends the long polls of both readers, so that new ones begin shortly before the cut.
+    fleet.newest = 2;
+    loop.run_for(change_to_cut);
+    const std::vector<std::size_t> cut = fleet.readers();
+    BOOST_REQUIRE(cut.size() == readers_per_data_centre);
+    for (const std::size_t i : cut) {
+        fleet.nodes[i]->store.set_silent(true);
+    }
+    loop.run_for(cut_to_change);
+    fleet.newest = 3;
+    loop.run_for(config_apply);
+    for (std::size_t i = 0; i < fleet.nodes.size(); ++i) {
+        if (std::find(cut.begin(), cut.end(), i) == cut.end()) {
+            BOOST_TEST(config_version(fleet.nodes[i]->shared) == 3U);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_version_the_requester_holds_is_not_sent_again)
 {
     net::event_loop loop;
