Tell crashing requests apart by caller and method too

Cause: the fingerprint of a request was made of host, path and body. An answer to another caller's harmless request counted as an answer to the crashing one and cleared it in the whole fleet, and for 30 s further crashes were ignored, anew with each answer.

Fix: the service of the caller and the method are part of the fingerprint, as targets tell requests apart by them.

Why it works: only an answer to the same request clears it, and one that crashes the targets that run it gets none.

The rows "another caller" and "another method" of the unit table are the two parts that were missing.

--- a/include/pomeloloft/sidecar/attempt.hpp
+++ b/include/pomeloloft/sidecar/attempt.hpp
@@ -7,6 +7,7 @@
 #include "pomeloloft/base/clock.hpp"
 #include "pomeloloft/base/names.hpp"
 #include "pomeloloft/net/client_watch.hpp"
+#include "pomeloloft/sidecar/settings.hpp"
 #include "pomeloloft/sidecar/suspects.hpp"
 #include "pomeloloft/traffic/dispatch.hpp"
 
@@ -75,12 +76,12 @@
     bool peer_timed_out = false;
 };
 
-/// Fingerprint of a request for `crash_suspects`.
-[[nodiscard]] std::uint64_t fingerprint_of(const net::request& sent);
+/// Fingerprint for `crash_suspects` of a request that states the service of its caller.
+[[nodiscard]] std::uint64_t fingerprint_of(const net::request& sent, const header_names& names);
 
 /// Decides whether a request may be written now to another sidecar or to the target.
 [[nodiscard]] dispatch_verdict decide_dispatch(const net::request& sent, const target_call& call,
-                                               const crash_suspects& suspects);
+                                               const crash_suspects& suspects, const header_names& names);
 
 /// Outcome of an attempt that was withheld.
 [[nodiscard]] attempt_outcome outcome_of(dispatch_verdict withheld);
--- a/include/pomeloloft/sidecar/suspects.hpp
+++ b/include/pomeloloft/sidecar/suspects.hpp
@@ -123,8 +123,17 @@
     std::unordered_map<std::uint64_t, time_point> cleared;
 };
 
+/// What identifies a request to a target, apart from its id.
+struct request_identity {
+    /// Service on whose VM the request originated.
+    std::string_view caller_service;
+    std::string_view method;
+    std::string_view host;
+    std::string_view target;
+    std::string_view body;
+};
+
 /// Fingerprint that is equal for requests that differ only in their ids.
-[[nodiscard]] std::uint64_t fingerprint_of(std::string_view host, std::string_view target,
-                                           std::string_view body);
+[[nodiscard]] std::uint64_t fingerprint_of(const request_identity& request);
 
 } // namespace pomeloloft::sidecar
--- a/src/pomeloloft/sidecar/attempt.cpp
+++ b/src/pomeloloft/sidecar/attempt.cpp
@@ -20,20 +20,26 @@
     return false;
 }
 
-std::uint64_t fingerprint_of(const net::request& sent)
+std::uint64_t fingerprint_of(const net::request& sent, const header_names& names)
 {
+    const auto method = sent.method_string();
     const auto target = sent.target();
-    return fingerprint_of(net::header_text(sent, net::http::field::host), {target.data(), target.size()},
-                          sent.body());
+    request_identity request;
+    request.caller_service = net::header_text(sent, names.caller_service);
+    request.method = {method.data(), method.size()};
+    request.host = net::header_text(sent, net::http::field::host);
+    request.target = {target.data(), target.size()};
+    request.body = sent.body();
+    return fingerprint_of(request);
 }
 
 dispatch_verdict decide_dispatch(const net::request& sent, const target_call& call,
-                                 const crash_suspects& suspects)
+                                 const crash_suspects& suspects, const header_names& names)
 {
     const time_point now = steady_clock::now();
     dispatch_facts facts;
     facts.caller_connected = call.caller == nullptr || !call.caller->has_closed();
-    facts.quarantined = !suspects.empty() && suspects.is_quarantined(fingerprint_of(sent), now);
+    facts.quarantined = !suspects.empty() && suspects.is_quarantined(fingerprint_of(sent, names), now);
     facts.deadline = call.deadline;
     return pomeloloft::decide_dispatch(facts, now);
 }
--- a/src/pomeloloft/sidecar/gate.cpp
+++ b/src/pomeloloft/sidecar/gate.cpp
@@ -332,7 +332,8 @@
 {
     target_call_result out;
     const milliseconds max_idle = call.idempotent ? max_idle_idempotent : max_idle_non_idempotent;
-    const std::string id(net::header_text(sent, this->local_settings.headers.request_id));
+    const header_names& names = this->local_settings.headers;
+    const std::string id(net::header_text(sent, names.request_id));
     const std::uint64_t id_hash = hash_bytes(id);
     // A target may send a response once more, where the next one is expected. The id tells it apart, unless
     // the same request is sent again or has no id.
@@ -346,13 +347,12 @@
         co_return out;
     }
     net::connection_ptr target_connection = std::move(connected.value());
-    const dispatch_verdict verdict = decide_dispatch(sent, call, this->suspects);
+    const dispatch_verdict verdict = decide_dispatch(sent, call, this->suspects, names);
     if (verdict != dispatch_verdict::send) {
         this->pool.release(this->address, std::move(target_connection));
         out.outcome = this->withhold(verdict);
         co_return out;
     }
-    const header_names& names = this->local_settings.headers;
     const time_point started = steady_clock::now();
     sent.set(names.expected_instance, this->target.instance.id);
     sent.set(names.time_left, std::to_string(remaining(call.deadline, started).count()));
@@ -381,10 +381,10 @@
         // A target that accepts a connection and ends it without a byte counts as crashed even if it still
         // runs; on a reused connection it may only have closed an idle connection.
         ++this->counters.crashes_on_new_connections;
-        out.crash = this->record_crash(fingerprint_of(sent), steady_clock::now());
+        out.crash = this->record_crash(fingerprint_of(sent, names), steady_clock::now());
     } else if (end == net::exchange_end::lost || end == net::exchange_end::timed_out) {
         out.crash =
-            co_await this->find_crash(fingerprint_of(sent), started, end == net::exchange_end::timed_out);
+            co_await this->find_crash(fingerprint_of(sent, names), started, end == net::exchange_end::timed_out);
     }
     co_return out;
 }
--- a/src/pomeloloft/sidecar/gate_crashes.cpp
+++ b/src/pomeloloft/sidecar/gate_crashes.cpp
@@ -115,7 +115,7 @@
     if (this->suspects.empty()) {
         return;
     }
-    const std::uint64_t request = fingerprint_of(answered);
+    const std::uint64_t request = fingerprint_of(answered, this->local_settings.headers);
     if (!this->suspects.clear(request, now)) {
         return;
     }
--- a/src/pomeloloft/sidecar/suspects.cpp
+++ b/src/pomeloloft/sidecar/suspects.cpp
@@ -127,9 +127,13 @@
     std::erase_if(this->cleared, [now](const auto& entry) { return entry.second <= now; });
 }
 
-std::uint64_t fingerprint_of(std::string_view host, std::string_view target, std::string_view body)
+std::uint64_t fingerprint_of(const request_identity& request)
 {
-    return hash_combine(hash_combine(hash_bytes(host), hash_bytes(target)), hash_bytes(body));
+    std::uint64_t out = hash_bytes(request.caller_service);
+    for (const std::string_view part : {request.method, request.host, request.target, request.body}) {
+        out = hash_combine(out, hash_bytes(part));
+    }
+    return out;
 }
 
 } // namespace pomeloloft::sidecar
--- a/src/pomeloloft/sidecar/suspects_test.cpp
+++ b/src/pomeloloft/sidecar/suspects_test.cpp
@@ -14,8 +14,23 @@
 namespace pomeloloft::sidecar {
 namespace {
 
-const std::uint64_t crashing_request = fingerprint_of("shop.example", "/read/7", "");
-const std::uint64_t answered_request = fingerprint_of("shop.example", "/read/8", "");
+constexpr request_identity crashing_identity{"gallery", "GET", "shop.example", "/read/7", ""};
+
+const std::uint64_t crashing_request = fingerprint_of(crashing_identity);
+const std::uint64_t answered_request = fingerprint_of({"gallery", "GET", "shop.example", "/read/8", ""});
+
+struct identity_row : testing::named_row {
+    request_identity request;
+};
+
+/// Requests that differ from the crashing one in one part.
+const identity_row identity_rows[] = {
+    {"another caller", {"register", "GET", "shop.example", "/read/7", ""}},
+    {"another method", {"gallery", "HEAD", "shop.example", "/read/7", ""}},
+    {"another host", {"gallery", "GET", "photos.example", "/read/7", ""}},
+    {"another query", {"gallery", "GET", "shop.example", "/read/7?page=2", ""}},
+    {"another body", {"gallery", "GET", "shop.example", "/read/7", "x"}},
+};
 
 struct evidence_row : testing::named_row {
     loss_evidence evidence;
@@ -40,6 +55,20 @@
 
 BOOST_AUTO_TEST_SUITE(crash_detection)
 
+// Guards against an answer to a harmless request that clears a similar one which crashes targets.
+BOOST_DATA_TEST_CASE(only_an_answer_to_the_same_request_clears_a_suspect,
+                     boost::unit_test::data::make(identity_rows), row)
+{
+    const time_point now = steady_clock::now();
+    crash_suspects suspects;
+    for (const char* crash : {"n1#5.1", "n2#6.1", "n3#7.1"}) {
+        suspects.clear(fingerprint_of(row.request), now);
+        suspects.add({crashing_request, crash}, now);
+        suspects.clear(fingerprint_of(row.request), now);
+    }
+    BOOST_TEST(suspects.is_quarantined(crashing_request, now));
+}
+
 BOOST_AUTO_TEST_CASE(a_request_that_crashes_targets_is_quarantined_until_its_observations_expire)
 {
     const time_point now = steady_clock::now();
--- a/test/integration/crashing_requests_test.cpp
+++ b/test/integration/crashing_requests_test.cpp
@@ -1,4 +1,5 @@
 #define BOOST_TEST_MODULE crashing_requests
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -44,6 +45,21 @@
     return out;
 }
 
+/// Number of requests with the crashing path that came from a caller of a service.
+int arrivals_from(const sidecar_fleet& fleet, const std::string& service)
+{
+    const std::string line = "X-Caller-Service: " + service + "\r\n";
+    int out = 0;
+    for (const sidecar_node& node : fleet.nodes) {
+        const auto& heads = node.target->request_heads;
+        out += static_cast<int>(std::count_if(heads.begin(), heads.end(), [&](const std::string& head) {
+            return head.find(' ' + crashing_path + ' ') != std::string::npos &&
+                   head.find(line) != std::string::npos;
+        }));
+    }
+    return out;
+}
+
 struct crash_row : named_row {
     std::size_t targets;
     /// Requests in flight at the same time, each of which may have caused the crash.
@@ -118,6 +134,48 @@
     }
 }
 
+// Guards against answers to the callers of one service that clear the crashing request of another.
+BOOST_AUTO_TEST_CASE(a_crashing_request_is_refused_although_another_service_requests_the_same_path)
+{
+    sidecar_fleet fleet({"register", "register", "register", "gallery"});
+    constexpr std::size_t crashing_node = 3;
+    for (sidecar_node& node : fleet.nodes) {
+        node.target->crash_path = crashing_path;
+        node.target->crash_caller = "gallery";
+        node.target->downtime = milliseconds(700);
+    }
+    int round = 0;
+    int served = 0;
+    const auto send_round_of_both = [&] {
+        const std::string id = std::to_string(round++);
+        for (std::size_t node = 0; node < crashing_node; ++node) {
+            const std::string other = "o" + id + "-" + std::to_string(node);
+            served += fleet.call(node, read_request(crashing_path, other)).status == 200 ? 1 : 0;
+        }
+        fleet.call(crashing_node, read_request(crashing_path, "c" + id));
+        fleet.run_for(milliseconds(100));
+    };
+    const time_point give_up_at = steady_clock::now() + milliseconds(20'000);
+    while (crashes(fleet) < 3 && steady_clock::now() < give_up_at) {
+        send_round_of_both();
+    }
+    BOOST_REQUIRE(crashes(fleet) >= 3);
+    const auto send_for = [&](milliseconds duration) {
+        const time_point until = steady_clock::now() + duration;
+        while (steady_clock::now() < until) {
+            send_round_of_both();
+        }
+    };
+    send_for(stable_window);
+    const int arrivals_in_window = arrivals_from(fleet, "gallery");
+    const int served_in_window = served;
+    send_for(milliseconds(5000));
+    BOOST_TEST(arrivals_from(fleet, "gallery") - arrivals_in_window <= max_late_arrivals);
+    // The requests of the other service stay allowed.
+    BOOST_TEST(served > served_in_window);
+    BOOST_TEST(fleet.call(crashing_node, read_request(crashing_path, "last")).status == 503);
+}
+
 BOOST_AUTO_TEST_CASE(a_quarantine_holds_after_a_restart_of_all_sidecars)
 {
     sidecar_fleet fleet(3);
--- a/test/integration/sidecar_fleet.cpp
+++ b/test/integration/sidecar_fleet.cpp
@@ -73,13 +73,19 @@
 } // namespace
 
 sidecar_fleet::sidecar_fleet(std::size_t size)
-    : loop(1), store(this->loop), nodes(size),
+    : sidecar_fleet(std::vector<std::string>(size, "register"))
+{}
+
+sidecar_fleet::sidecar_fleet(const std::vector<std::string>& services)
+    : loop(1), store(this->loop), nodes(services.size()),
       directory(std::filesystem::temp_directory_path() / ("sidecars-" + std::to_string(::getpid())))
 {
     std::filesystem::create_directories(this->directory);
     this->configure(1);
+    const std::size_t size = services.size();
     for (std::size_t i = 0; i < size; ++i) {
         sidecar_node& node = this->nodes[i];
+        node.node_settings.service = services[i];
         node.target = std::make_unique<platform_target>(this->loop, "i-" + std::to_string(i));
         node.node_settings.node = "n" + std::to_string(i);
         node.node_settings.outbound_address = free_address();
@@ -115,8 +121,8 @@
     const std::string path = this->directory + "/" + target_node.node_settings.node;
     std::ofstream file(path + ".env");
     file << "POMELOLOFT_NODE=" << target_node.node_settings.node
-         << "\nPOMELOLOFT_DATA_CENTRE=dc1\nPOMELOLOFT_SERVICE=register\n"
-         << "POMELOLOFT_TARGET=" << target_node.target->address()
+         << "\nPOMELOLOFT_DATA_CENTRE=dc1\nPOMELOLOFT_SERVICE=" << target_node.node_settings.service
+         << "\nPOMELOLOFT_TARGET=" << target_node.target->address()
          << "\nPOMELOLOFT_OUTBOUND=" << target_node.node_settings.outbound_address
          << "\nPOMELOLOFT_PEER=" << target_node.node_settings.peer_address
          << "\nPOMELOLOFT_READY=" << target_node.node_settings.ready_address
@@ -234,7 +240,8 @@
 {
     sidecar_node& target_node = this->nodes[node];
     const std::string body = R"({"Address":"x","born":)" + std::to_string(target_node.target_started_at_ms) +
-                             R"(,"Info":{"Service":"register","Version":"v1","Zone":"dc1","Slots":4},)"
+                             R"(,"Info":{"Service":")" + target_node.node_settings.service +
+                             R"(","Version":"v1","Zone":"dc1","Slots":4},)"
                              R"("Status":{"State":")" +
                              state + R"(","Seq":)" + std::to_string(++target_node.heartbeat_sequence) +
                              R"(,"ColdRemainingMs":0}})";
--- a/test/integration/sidecar_fleet.hpp
+++ b/test/integration/sidecar_fleet.hpp
@@ -35,6 +35,7 @@
 
 /// One sidecar process and its target.
 struct sidecar_node {
+    /// The service of the settings is that of the target.
     sidecar::settings node_settings;
     std::unique_ptr<platform_target> target;
     std::unique_ptr<child_process> process;
@@ -48,6 +49,8 @@
 public:
     /// Starts sidecars with targets of the service `register` and waits until all are ready.
     explicit sidecar_fleet(std::size_t size);
+    /// Starts a sidecar with a target for each of the services.
+    explicit sidecar_fleet(const std::vector<std::string>& services);
     ~sidecar_fleet();
     sidecar_fleet(const sidecar_fleet&) = delete;
     sidecar_fleet& operator=(const sidecar_fleet&) = delete;
--- a/test/stand_ins/platform_target.cpp
+++ b/test/stand_ins/platform_target.cpp
@@ -269,7 +269,9 @@
         has_path(head, this->poison) ? target_mode::closes_without_response : this->mode;
     this->request_heads.push_back(head);
     this->arrivals_by_request_id[id] = steady_clock::now();
-    if (has_path(head, this->crash_path)) {
+    const bool from_crash_caller =
+        this->crash_caller.empty() || header_value(head, "X-Caller-Service") == this->crash_caller;
+    if (from_crash_caller && has_path(head, this->crash_path)) {
         this->crash();
         co_return false;
     }
--- a/test/stand_ins/platform_target.hpp
+++ b/test/stand_ins/platform_target.hpp
@@ -96,6 +96,8 @@
     /// Requests with this path end the target: its listener and all its connections are closed for
     /// `downtime`. Empty disables this.
     std::string crash_path;
+    /// Only requests of this caller's service end the target; empty for those of any caller.
+    std::string crash_caller;
     milliseconds downtime{1500};
     /// Number of times the target has ended.
     int crashes = 0;
