Go on after an odd entry: nested deeply, a number too large, a port out of range

What can happen: one entry of another writer among heartbeats, sidecars' records or patches ended tasks or processes, or kept a process from following its target.

In a trial without the limit of depth, the unit case with a patch nested 100,000 deep fails: copying and writing JSON recurse. Every proxy that folds the log would meet such a patch again after each start.

Cause: JSON was taken at any depth and written with an exception for bytes that are not UTF-8; numbers were converted without a check of range; a task that ended by an exception was not started again.

Fix, one rule for all that comes from elsewhere: JSON is read by one function that refuses nesting beyond 64, and written by one that replaces what is not UTF-8 (both fronts); operations of a patch may not nest the document deeper either; ids of instances are graphic ASCII; counters, start times, slots, links and peer addresses must be in range, or the entry is ignored and named in the log. Reports of targets end at 64 KiB. The tasks that a sidecar depends on are started again after an exception.

Found on the way, read in the code only: a member's peer address was checked when it was used, so an entry with an unusable one could count as reader or prober; times beyond the range of the clock were added to it (clearances, Keep-Alive).

--- a/include/pomeloloft/net/spawn.hpp
+++ b/include/pomeloloft/net/spawn.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <functional>
+
 #include "pomeloloft/net/stream.hpp"
 
 namespace pomeloloft::net {
@@ -8,4 +10,9 @@
 /// @param name name of the task in the log.
 void spawn(event_loop& loop, task<void> work, const char* name);
 
+/// Starts a task that the process depends on while it runs. If an exception ends the task, that is logged and
+/// the task is started again after a pause.
+/// @param name name of the task in the log.
+void keep_running(event_loop& loop, std::function<task<void>()> start, const char* name);
+
 } // namespace pomeloloft::net
--- a/src/pomeloloft/config/fold.cpp
+++ b/src/pomeloloft/config/fold.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "pomeloloft/base/hash.hpp"
+#include "pomeloloft/base/json_text.hpp"
 #include "pomeloloft/config/patch.hpp"
 
 namespace pomeloloft {
@@ -76,7 +77,7 @@
 {
     config_version next;
     next.version = version;
-    next.text = source.dump(-1, ' ', false, json::error_handler_t::replace);
+    next.text = to_json_text(source);
     if (next.text.size() > max_document_bytes) {
         return error{error_code::invalid, "", "the document would be larger than 4 MiB"};
     }
@@ -88,12 +89,37 @@
 
 constexpr std::size_t hash_digits = 16;
 
+/// Whether an operation would nest a document deeper than `max_json_depth`: copies of copies grow fast.
+/// Malformed operations are left to `json::patch_inplace`, which reports them.
+bool nests_too_deeply(const json& document, const json& operation)
+{
+    if (!operation.is_object() || !operation.contains("path") || !operation["path"].is_string()) {
+        return false;
+    }
+    const std::string& path = operation["path"].get_ref<const std::string&>();
+    std::size_t depth = static_cast<std::size_t>(std::count(path.begin(), path.end(), '/'));
+    if (operation.contains("from") && operation["from"].is_string()) {
+        const json::json_pointer from(operation["from"].get<std::string>());
+        depth += document.contains(from) ? json_depth(document.at(from)) : 0;
+    }
+    if (operation.contains("value")) {
+        depth += json_depth(operation["value"]);
+    }
+    return depth > max_json_depth;
+}
+
 } // namespace
 
 result<config_version> apply_operations(const config_version& current, std::string_view operations)
 {
     try {
-        const json patched = json::parse(current.text).patch(json::parse(operations));
+        json patched = parse_json(current.text);
+        for (const json& operation : parse_json(operations)) {
+            if (nests_too_deeply(patched, operation)) {
+                return error{error_code::invalid, "operations", "nest the document too deeply"};
+            }
+            patched.patch_inplace(json::array({operation}));
+        }
         return version_from_json(patched, current.version + 1);
     } catch (const json::exception& failure) {
         return error{error_code::invalid, "operations", failure.what()};
@@ -139,11 +165,11 @@
         audit.push_back(audit_to_json(entry));
     }
     const json body{{"version", state.current->version},
-                    {"document", json::parse(state.current->text)},
+                    {"document", parse_json(state.current->text)},
                     {"next_offset", state.next_offset},
                     {"chain", state.chain},
                     {"audit", std::move(audit)}};
-    std::string text = body.dump(-1, ' ', false, json::error_handler_t::replace);
+    std::string text = to_json_text(body);
     text += to_hex(hash_bytes(text));
     return text;
 }
@@ -159,7 +185,7 @@
         return corrupt;
     }
     try {
-        const json source = json::parse(body);
+        const json source = parse_json(body);
         fold_state state;
         BOOST_OUTCOME_TRY(auto current, version_from_json(source.at("document"),
                                                           source.at("version").get<std::uint64_t>()));
--- a/src/pomeloloft/config/fold_test.cpp
+++ b/src/pomeloloft/config/fold_test.cpp
@@ -51,10 +51,50 @@
     return state;
 }
 
+std::string nested_lists(std::size_t depth)
+{
+    return std::string(depth, '[') + std::string(depth, ']');
+}
+
+/// A patch whose operations copy a value into itself, which doubles its depth each time.
+std::string self_copying_patch(int copies)
+{
+    std::string operations = R"({"op":"add","path":"/x","value":{}})";
+    std::string deepest = "/x";
+    for (int i = 0; i < copies; ++i) {
+        operations += R"(,{"op":"copy","from":"/x","path":")" + deepest + R"(/y"})";
+        std::string inner = deepest.substr(2);
+        deepest += "/y" + inner;
+    }
+    return R"({"id":"p","author":"x","base":0,"operations":[)" + operations + "]}";
+}
+
+struct odd_patch_row : testing::named_row {
+    std::string record;
+};
+
+const odd_patch_row odd_patch_rows[] = {
+    {"deeply nested operations",
+     R"({"id":"p","author":"x","base":0,"operations":[{"op":"add","path":"/x","value":)" +
+         nested_lists(100'000) + "}]}"},
+    {"copies of copies", self_copying_patch(15)},
+    {"a number that is too large",
+     R"({"id":"p","author":"x","base":0,"operations":[{"op":"add","path":"/x","value":1e999}]})"},
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(fold)
 
+// Guards against records of another writer that end every proxy which folds the log.
+BOOST_DATA_TEST_CASE(an_odd_patch_is_rejected, boost::unit_test::data::make(odd_patch_rows), row)
+{
+    fold_state state;
+    const audit_entry entry = fold_record(state, 0, row.record);
+    BOOST_TEST((entry.outcome == patch_outcome::malformed || entry.outcome == patch_outcome::invalid));
+    BOOST_TEST(state.current->version == 0U);
+}
+
 BOOST_DATA_TEST_CASE(each_record_has_the_expected_outcome, boost::unit_test::data::xrange(std::size(records)),
                      i)
 {
--- a/src/pomeloloft/config/patch.cpp
+++ b/src/pomeloloft/config/patch.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "pomeloloft/base/hash.hpp"
+#include "pomeloloft/base/json_text.hpp"
 
 namespace pomeloloft {
 namespace {
@@ -46,8 +47,8 @@
     if (!p.message.empty()) {
         record["message"] = p.message;
     }
-    record["operations"] = json::parse(p.operations, nullptr, false);
-    return record.dump(-1, ' ', false, json::error_handler_t::replace);
+    record["operations"] = parse_json(p.operations);
+    return to_json_text(record);
 }
 
 result<patch> decode_patch(std::string_view record)
@@ -55,7 +56,7 @@
     if (record.size() > max_patch_bytes) {
         return field_error("patch", "is larger than 256 KiB");
     }
-    const json source = json::parse(record, nullptr, false);
+    const json source = parse_json(record);
     if (!source.is_object()) {
         return field_error("patch", "is not a JSON object");
     }
@@ -77,7 +78,7 @@
     if (operations == source.end() || !operations->is_array() || operations->size() > max_operations) {
         return field_error("operations", "must be a list of at most 4096 RFC 6902 operations");
     }
-    out.operations = operations->dump(-1, ' ', false, json::error_handler_t::replace);
+    out.operations = to_json_text(*operations);
     return out;
 }
 
--- a/src/pomeloloft/log/http_log_client.cpp
+++ b/src/pomeloloft/log/http_log_client.cpp
@@ -10,6 +10,7 @@
 #include <Poco/Net/SocketAddress.h>
 #include <nlohmann/json.hpp>
 
+#include "pomeloloft/base/json_text.hpp"
 #include "pomeloloft/log/log_client.hpp"
 
 namespace pomeloloft {
@@ -57,7 +58,7 @@
     if (response.status != HTTPResponse::HTTP_OK) {
         return error{error_code::unavailable, "log", "answered " + std::to_string(response.status)};
     }
-    json body = json::parse(response.body, nullptr, false);
+    json body = parse_json(response.body);
     if (!body.is_object()) {
         return error{error_code::corrupt, "log", "answer is not a JSON object"};
     }
--- a/src/pomeloloft/net/client.cpp
+++ b/src/pomeloloft/net/client.cpp
@@ -66,7 +66,7 @@
     if (parsed.ec != std::errc{}) {
         return std::nullopt;
     }
-    return milliseconds(seconds * 1000);
+    return std::chrono::seconds(seconds);
 }
 
 struct response_read_result {
--- a/src/pomeloloft/proxy/local_api.cpp
+++ b/src/pomeloloft/proxy/local_api.cpp
@@ -6,6 +6,7 @@
 #include <Poco/Net/SocketAddress.h>
 #include <nlohmann/json.hpp>
 
+#include "pomeloloft/base/json_text.hpp"
 #include "pomeloloft/base/log_line.hpp"
 #include "pomeloloft/proxy/api.hpp"
 
@@ -33,7 +34,7 @@
     std::string text(max_announcement_bytes, '\0');
     in.read(text.data(), static_cast<std::streamsize>(text.size()));
     text.resize(static_cast<std::size_t>(in.gcount()));
-    const json source = json::parse(text, nullptr, false);
+    const json source = parse_json(text);
     if (!source.is_object()) {
         return field_error("body", "must be a JSON object with service, address and ttl_ms");
     }
--- a/src/pomeloloft/proxy/log_loop.cpp
+++ b/src/pomeloloft/proxy/log_loop.cpp
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "pomeloloft/base/json_text.hpp"
 #include "pomeloloft/base/log_line.hpp"
 #include "pomeloloft/config/patch.hpp"
 
@@ -53,7 +54,7 @@
     std::vector<std::string> addresses;
     std::set<std::string> seen{own_address};
     for (auto it = records.rbegin(); it != records.rend(); ++it) {
-        const json record = json::parse(it->data, nullptr, false);
+        const json record = parse_json(it->data);
         if (!record.is_object() || !record.contains("control") || !record["control"].is_string()) {
             continue;
         }
@@ -186,7 +187,7 @@
     const json record{{"node", this->board.settings.node},
                       {"data_centre", this->board.settings.data_centre},
                       {"control", advertised_control(this->board.settings)}};
-    this->append(reader_stream, record.dump());
+    this->append(reader_stream, to_json_text(record));
     this->next_announcement = now + announce_interval;
 }
 
--- a/src/pomeloloft/proxy/operator_api.cpp
+++ b/src/pomeloloft/proxy/operator_api.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include "pomeloloft/base/hash.hpp"
+#include "pomeloloft/base/json_text.hpp"
 #include "pomeloloft/base/log_line.hpp"
 #include "pomeloloft/config/patch.hpp"
 #include "pomeloloft/proxy/api.hpp"
@@ -182,7 +183,7 @@
     }
     send_json(
         response, ok,
-        {{"version", found->version}, {"hash", to_hex(found->hash)}, {"document", json::parse(found->text)}});
+        {{"version", found->version}, {"hash", to_hex(found->hash)}, {"document", parse_json(found->text)}});
 }
 
 void show_audit(blackboard& board, const Poco::URI& uri, http_response& response)
--- a/src/pomeloloft/proxy/operator_views.cpp
+++ b/src/pomeloloft/proxy/operator_views.cpp
@@ -12,6 +12,7 @@
 #include <nlohmann/json.hpp>
 
 #include "pomeloloft/base/hash.hpp"
+#include "pomeloloft/base/json_text.hpp"
 
 namespace pomeloloft {
 namespace {
@@ -44,8 +45,11 @@
         Poco::Net::HTTPResponse status_response;
         std::istream& stream = connection.receive_head(status_response, deadline);
         const std::string text(std::istreambuf_iterator<char>(stream), {});
-        const json body = json::parse(text, nullptr, false);
+        const json body = parse_json(text);
         row["reachable"] = body.is_object();
+        if (!body.is_object()) {
+            return row;
+        }
         row["version"] = body.value("version", json());
         row["ready"] = body.value("ready", json());
         row["reader"] = body.value("reader", json());
--- a/src/pomeloloft/proxy/snapshot_records.cpp
+++ b/src/pomeloloft/proxy/snapshot_records.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "pomeloloft/base/json_text.hpp"
 #include "pomeloloft/proxy/log_loop.hpp"
 
 namespace pomeloloft {
@@ -23,7 +24,7 @@
 /// @return false when the record is malformed.
 bool add_chunk(std::map<std::string, partial_snapshot>& found, const std::string& data)
 {
-    const json record = json::parse(data, nullptr, false);
+    const json record = parse_json(data);
     if (!record.is_object()) {
         return false;
     }
--- a/src/pomeloloft/routing/table_codec.cpp
+++ b/src/pomeloloft/routing/table_codec.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "pomeloloft/base/hash.hpp"
+#include "pomeloloft/base/json_text.hpp"
 
 namespace pomeloloft::routing {
 namespace {
@@ -193,13 +194,13 @@
         }
         out["services"] = std::move(services);
     }
-    return out.dump();
+    return to_json_text(out);
 }
 
 result<table_delta> decode_delta(std::string_view text)
 {
     try {
-        const json in = json::parse(text);
+        const json in = parse_json(text);
         table_delta out;
         out.base_version = in.at("base").get<std::uint64_t>();
         out.version = in.at("version").get<std::uint64_t>();
--- a/src/pomeloloft/sidecar/daemon.cpp
+++ b/src/pomeloloft/sidecar/daemon.cpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "pomeloloft/base/json_text.hpp"
 #include "pomeloloft/base/log_line.hpp"
 #include "pomeloloft/net/spawn.hpp"
 #include "pomeloloft/net/timer.hpp"
@@ -33,6 +34,8 @@
 /// Time after which a connection attempt to a peer is abandoned.
 constexpr milliseconds peer_connect_timeout{300};
 constexpr milliseconds discovery_interval{300};
+/// Longest report of a target that is read; real ones have a few hundred bytes.
+constexpr std::uint64_t max_report_bytes = 64U << 10U;
 constexpr milliseconds reconnect_interval{300};
 /// Interval at which idle connections and expired observations are removed.
 constexpr milliseconds cleanup_interval{1000};
@@ -64,12 +67,12 @@
 
 std::string encode_departure(const instance_key& departure)
 {
-    return nlohmann::json{{"instance", departure.id}, {"started_at_ms", departure.started_at_ms}}.dump();
+    return to_json_text({{"instance", departure.id}, {"started_at_ms", departure.started_at_ms}});
 }
 
 std::optional<instance_key> decode_departure(const std::string& text)
 {
-    const auto parsed = nlohmann::json::parse(text, nullptr, false);
+    const auto parsed = parse_json(text);
     if (!parsed.is_object() || !parsed.contains("instance") || !parsed["instance"].is_string() ||
         !parsed.contains("started_at_ms") || !parsed["started_at_ms"].is_number_integer()) {
         return std::nullopt;
@@ -106,6 +109,7 @@
                                                       "ready address", std::move(ready_handler)));
     BOOST_OUTCOME_TRY(this->control, net::server::start(this->loop, local_settings.control_address,
                                                         "control address", std::move(control_handler)));
+    this->control->limits.max_body_bytes = max_report_bytes;
     BOOST_OUTCOME_TRY(this->outbound,
                       net::server::start(this->loop, local_settings.outbound_address, "outbound address",
                                          [this](net::request& r, net::client_watch& caller) {
@@ -139,13 +143,16 @@
             net::spawn(this->loop, this->reconnect_target(), "reconnect-target");
         }
     };
-    net::spawn(this->loop, this->feed.follow_store(), "follow-config");
-    net::spawn(this->loop, this->feed.announce_version(), "confirm-config");
-    net::spawn(this->loop, this->join(), "join");
-    net::spawn(this->loop, this->discover_target(), "find-target");
-    net::spawn(this->loop, this->members.keep_in_sync(), "keep-in-sync");
-    net::spawn(this->loop, this->remove_expired(), "remove-expired");
-    net::spawn(this->loop, this->store_quarantine(), "store-quarantine");
+    const auto keep_running = [this](const char* name, std::function<net::task<void>()> start) {
+        net::keep_running(this->loop, std::move(start), name);
+    };
+    keep_running("follow-config", [this] { return this->feed.follow_store(); });
+    keep_running("confirm-config", [this] { return this->feed.announce_version(); });
+    keep_running("join", [this] { return this->join(); });
+    keep_running("find-target", [this] { return this->discover_target(); });
+    keep_running("keep-in-sync", [this] { return this->members.keep_in_sync(); });
+    keep_running("remove-expired", [this] { return this->remove_expired(); });
+    keep_running("store-quarantine", [this] { return this->store_quarantine(); });
     return success();
 }
 
--- a/src/pomeloloft/sidecar/member_record.cpp
+++ b/src/pomeloloft/sidecar/member_record.cpp
@@ -1,8 +1,12 @@
 #include "pomeloloft/sidecar/member_record.hpp"
 
+#include <limits>
+
 #include <nlohmann/json.hpp>
 
+#include "pomeloloft/base/json_text.hpp"
 #include "pomeloloft/base/log_line.hpp"
+#include "pomeloloft/net/stream.hpp"
 
 namespace pomeloloft::sidecar {
 namespace {
@@ -26,7 +30,7 @@
 
 error bad_field(const char* field)
 {
-    return {error_code::corrupt, field, "is missing or has the wrong type"};
+    return {error_code::corrupt, field, "is missing, has the wrong type or is out of range"};
 }
 
 result<member> from_json(const json& in)
@@ -52,7 +56,8 @@
         {"incarnation", &out.incarnation}, {"sequence", &out.sequence}};
     for (const auto& [field, target] : numbers) {
         const auto found = in.find(field);
-        if (found == in.end() || !found->is_number_unsigned()) {
+        if (found == in.end() || !found->is_number_unsigned() ||
+            found->get<std::uint64_t>() > max_json_integer) {
             return bad_field(field);
         }
         *target = found->get<std::uint64_t>();
@@ -63,7 +68,8 @@
     }
     out.instance_started_at_ms = started->get<std::int64_t>();
     const auto link = in.find("link_mbps");
-    if (link == in.end() || !link->is_number_unsigned()) {
+    if (link == in.end() || !link->is_number_unsigned() ||
+        link->get<std::uint64_t>() > std::numeric_limits<std::uint32_t>::max()) {
         return bad_field("link_mbps");
     }
     out.link_mbps = link->get<std::uint32_t>();
@@ -81,6 +87,7 @@
         return bad_field(named ? "node" : "state");
     }
     out.state = *named;
+    BOOST_OUTCOME_TRY(net::parse_endpoint(out.peer_address, "peer"));
     return out;
 }
 
@@ -159,12 +166,12 @@
 
 std::string encode_member(const member& m)
 {
-    return to_json(m).dump();
+    return to_json_text(to_json(m));
 }
 
 result<member> decode_member(std::string_view text)
 {
-    const json parsed = json::parse(text, nullptr, false);
+    const json parsed = parse_json(text);
     if (parsed.is_discarded()) {
         return error{error_code::corrupt, "member", "is not JSON"};
     }
@@ -198,12 +205,12 @@
     if (message.buckets) {
         out["buckets"] = *message.buckets;
     }
-    return out.dump();
+    return to_json_text(out);
 }
 
 result<sync_message> decode_sync(std::string_view text)
 {
-    const json parsed = json::parse(text, nullptr, false);
+    const json parsed = parse_json(text);
     if (!parsed.is_object()) {
         return error{error_code::corrupt, "sync", "is not a JSON object"};
     }
--- a/src/pomeloloft/sidecar/quarantine_record.cpp
+++ b/src/pomeloloft/sidecar/quarantine_record.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "pomeloloft/base/json_text.hpp"
+
 namespace pomeloloft::sidecar {
 
 using nlohmann::json;
@@ -16,7 +18,7 @@
                            {"crash", o.crash},
                            {"expires_at_ms", now_ms + o.time_left.count()}});
     }
-    return json{{"crashes", std::move(crashes)}}.dump();
+    return to_json_text({{"crashes", std::move(crashes)}});
 }
 
 bool has_new_crash(const std::vector<crash_observation>& observations,
@@ -31,7 +33,7 @@
 
 result<std::vector<crash_observation>> decode_quarantine(std::string_view text, std::int64_t now_ms)
 {
-    const json parsed = json::parse(text, nullptr, false);
+    const json parsed = parse_json(text);
     if (!parsed.is_object() || !parsed.contains("crashes") || !parsed["crashes"].is_array()) {
         return error{error_code::corrupt, "crashes", "is not a list"};
     }
@@ -47,12 +49,13 @@
         if (!entry.contains("expires_at_ms") || !entry["expires_at_ms"].is_number_integer()) {
             return error{error_code::corrupt, "crashes.expires_at_ms", "is not a whole number"};
         }
-        // The clocks of VMs may differ; no observation is valid for longer than its retention.
-        const std::int64_t left_ms = std::min<std::int64_t>(
-            entry["expires_at_ms"].get<std::int64_t>() - now_ms, crash_observation_retention.count());
-        if (left_ms > 0) {
-            out.push_back({entry["fingerprint"].get<std::uint64_t>(), entry["crash"].get<std::string>(),
-                           milliseconds(left_ms)});
+        const auto expires_at_ms = entry["expires_at_ms"].get<std::int64_t>();
+        if (expires_at_ms > now_ms) {
+            // The clocks of VMs may differ; no observation is valid for longer than its retention.
+            const milliseconds left =
+                std::min(milliseconds(expires_at_ms - now_ms), crash_observation_retention);
+            out.push_back(
+                {entry["fingerprint"].get<std::uint64_t>(), entry["crash"].get<std::string>(), left});
         }
     }
     return out;
--- a/src/pomeloloft/sidecar/suspects.cpp
+++ b/src/pomeloloft/sidecar/suspects.cpp
@@ -40,6 +40,9 @@
 
 bool crash_suspects::clear(const cleared_suspect& request, time_point now)
 {
+    if (request.time_left.count() <= 0) {
+        return false;
+    }
     const time_point until = now + std::min(request.time_left, this->options.clearance);
     const auto [known, is_new] = this->cleared.try_emplace(request.fingerprint, until);
     known->second = std::max(known->second, until);
--- a/src/pomeloloft/sidecar/target.cpp
+++ b/src/pomeloloft/sidecar/target.cpp
@@ -44,6 +44,13 @@
 
 } // namespace
 
+bool is_valid_instance_id(std::string_view id)
+{
+    constexpr std::size_t max_id_bytes = 256;
+    const auto is_graphic = [](char c) { return c > ' ' && c <= '~'; };
+    return !id.empty() && id.size() <= max_id_bytes && std::all_of(id.begin(), id.end(), is_graphic);
+}
+
 void record_departure(target_record& target, const instance_key& instance)
 {
     if (std::find(target.departed.begin(), target.departed.end(), instance) != target.departed.end()) {
@@ -110,7 +117,7 @@
     if (target.state == target_state::serving) {
         return target.instance.id == id;
     }
-    if (id.empty() || has_departed(target, {id, 0})) {
+    if (!is_valid_instance_id(id) || has_departed(target, {id, 0})) {
         return false;
     }
     target.state = target_state::serving;
--- a/src/pomeloloft/traffic/decision_trace.cpp
+++ b/src/pomeloloft/traffic/decision_trace.cpp
@@ -6,6 +6,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "pomeloloft/base/json_text.hpp"
+
 namespace pomeloloft {
 namespace {
 
@@ -287,12 +289,12 @@
 
 std::string to_json_line(const decision& recorded)
 {
-    return std::visit([](const auto& d) { return to_json(d).dump(); }, recorded);
+    return std::visit([](const auto& d) { return to_json_text(to_json(d)); }, recorded);
 }
 
 result<decision> parse_decision(std::string_view line)
 {
-    const json row = json::parse(line, nullptr, false);
+    const json row = parse_json(line);
     if (!row.is_object()) {
         return error{error_code::invalid, "", "is not a JSON object"};
     }
