--- a/include/pomeloloft/sidecar/target.hpp
+++ b/include/pomeloloft/sidecar/target.hpp
@@ -86,6 +86,10 @@
 /// no effect.
 report_effect apply_report(target_record& target, const target_report& report, time_point now);
 
+/// Whether the target goes on getting requests although the report, already applied, says that it shuts down.
+/// Such a report must not be acknowledged.
+[[nodiscard]] bool hides_shutdown(const target_record& target, const target_report& report);
+
 /// Applies the deregistration of an instance that did not drain first.
 /// @param instance `started_at_ms` is 0 when it was not reported.
 report_effect apply_deregistration(target_record& target, const instance_key& instance);
--- a/src/pomeloloft/sidecar/daemon.cpp
+++ b/src/pomeloloft/sidecar/daemon.cpp
@@ -323,6 +323,12 @@
     } else if (effect == report_effect::leaving) {
         this->begin_draining();
     }
+    if (hides_shutdown(this->gate.target, reported)) {
+        log_warning("target-shutdown-ignored", {{"instance", reported.instance.id},
+                                                {"sequence", reported.sequence},
+                                                {"known", this->gate.target.sequence}});
+        co_return false;
+    }
     if (this->gate.target.instance != reported.instance) {
         co_return true;
     }
--- a/src/pomeloloft/sidecar/target.cpp
+++ b/src/pomeloloft/sidecar/target.cpp
@@ -99,6 +99,12 @@
     return same ? report_effect::refreshed : report_effect::started;
 }
 
+bool hides_shutdown(const target_record& target, const target_report& report)
+{
+    return report.draining && target.state == target_state::serving &&
+           may_be_same_instance(target.instance, report.instance);
+}
+
 report_effect apply_deregistration(target_record& target, const instance_key& instance)
 {
     if (target.state == target_state::unknown) {
--- a/src/pomeloloft/sidecar/target_test.cpp
+++ b/src/pomeloloft/sidecar/target_test.cpp
@@ -58,6 +58,9 @@
     target_record target = serving_target();
     BOOST_TEST((apply_report(target, sample.report, steady_clock::now()) == sample.effect));
     BOOST_TEST((target.state == sample.state));
+    // A report of a shutdown without effect must not be acknowledged.
+    BOOST_TEST(hides_shutdown(target, sample.report) ==
+               (sample.report.draining && sample.effect == report_effect::stale));
     BOOST_TEST(target.instance.id == sample.instance);
 }
 
--- a/test/integration/sidecar_test.cpp
+++ b/test/integration/sidecar_test.cpp
@@ -470,6 +470,22 @@
     BOOST_TEST(runs() == before);
 }
 
+// Guards against a report without a start time that hides the later reports of the target.
+BOOST_AUTO_TEST_CASE(a_drain_takes_effect_after_a_report_without_a_start_time)
+{
+    sidecar_fleet fleet(2);
+    const std::string foreign = R"({"Address":"x","Info":{"Service":"register","Version":"v1","Zone":"dc1",)"
+                                R"("Slots":4},"Status":{"State":"ready","Seq":1000,"ColdRemainingMs":0}})";
+    BOOST_TEST(fleet.post_control(0, "/api/instances/i-0/heartbeat", foreign) == 400);
+    BOOST_TEST(fleet.heartbeat(0, "draining") == 200);
+    fleet.run_for(milliseconds(1000));
+    const std::size_t arrivals = fleet.nodes[0].target->request_heads.size();
+    for (int i = 0; i < 8; ++i) {
+        BOOST_TEST(fleet.call(0, read_request("d" + std::to_string(i))).status == 200);
+    }
+    BOOST_TEST(fleet.nodes[0].target->request_heads.size() == arrivals);
+}
+
 // Guards against reports of another writer that end tasks of a sidecar or hide those of its target.
 BOOST_DATA_TEST_CASE(a_sidecar_goes_on_after_an_odd_report, boost::unit_test::data::make(odd_report_rows),
                      row)
