Give a response without a length one before it is sent to another sidecar

Without any fault such answers came as 504 at the deadline when they crossed two sidecars.

Cause: the sidecar beside the target read the answer to its end and passed it on without a length, so the end of the connection between the two sidecars marked that of the body. The kernel ends the connections of a killed process cleanly. And the listener kept the connection open after such a response, so its receiver waited for an end that did not come.

Fix: the complete body is in memory, so the response gets its length; a listener whose handler returns a response without one closes the connection after it.

The other front, pomeloloft proxy, sends such bodies in chunks, whose end is explicit.

--- a/src/pomeloloft/net/server.cpp
+++ b/src/pomeloloft/net/server.cpp
@@ -251,7 +251,9 @@
         co_return false;
     }
     returned.response.version(version);
-    returned.response.keep_alive(keep_alive && !self.closing);
+    // Without a length, only the end of the connection marks that of the body.
+    const bool ends_with_connection = received.method() != http::verb::head && returned.response.need_eof();
+    returned.response.keep_alive(keep_alive && !self.closing && !ends_with_connection);
     if (received.method() == http::verb::head) {
         http::response_serializer<http::string_body> head(returned.response);
         stream.expires_after(self.limits.write_timeout);
--- a/src/pomeloloft/sidecar/peer_forwarding.cpp
+++ b/src/pomeloloft/sidecar/peer_forwarding.cpp
@@ -239,6 +239,10 @@
     net::response out = call_result.outcome == attempt_outcome::answered
                             ? std::move(call_result.response)
                             : net::make_response(net::http::status::ok);
+    if (out.need_eof()) {
+        // The connection also ends when this process is killed, so its end must not mark that of the body.
+        out.prepare_payload();
+    }
     out.set(this->shared.local_settings.headers.request_id, request_id);
     out.set(peer_header::outcome, std::string(name_of(attempt_outcome_names, call_result.outcome)));
     if (!call_result.crash.empty()) {
--- a/test/integration/sidecar_test.cpp
+++ b/test/integration/sidecar_test.cpp
@@ -470,6 +470,20 @@
     BOOST_TEST(runs() == before);
 }
 
+// Guards against responses without a length that were held until the deadline, or cut by the end of a sidecar
+// and taken for complete, because their end was that of the connection between two sidecars.
+BOOST_AUTO_TEST_CASE(a_response_without_a_length_crosses_two_sidecars_with_one)
+{
+    sidecar_fleet fleet({"gallery", "register"});
+    fleet.nodes[1].target->mode = target_mode::close_delimited_body;
+    for (int i = 0; i < 5; ++i) {
+        const caller_response response = fleet.call(0, read_request("u" + std::to_string(i)));
+        BOOST_TEST(response.status == 200);
+        BOOST_TEST(response.body == "by i-1");
+        BOOST_TEST(response.elapsed.count() < 500);
+    }
+}
+
 // Guards against a report without a start time that hides the later reports of the target.
 BOOST_AUTO_TEST_CASE(a_drain_takes_effect_after_a_report_without_a_start_time)
 {
