Fetch an announced version from the reader that announces it

Cause: the others asked the readers in their order, the frozen one first, and waited 1.5 s for it, although the version had been announced by the second.

Fix: a reader that announces a version is asked for it first; it has it and runs.

Evidence: a table of the order, red in its row "the second reader" by the former order (read from the code: the function is new, so the row could not run on it). Not measured with frozen processes.

--- a/include/pomeloloft/sidecar/config_feed.hpp
+++ b/include/pomeloloft/sidecar/config_feed.hpp
@@ -26,6 +26,11 @@
 [[nodiscard]] std::vector<std::string> config_readers(const member_table& members,
                                                       const std::string& data_centre);
 
+/// The nodes to ask for an announced version, in this order. Readers come first, as they are close and have
+/// wide links, and among them the announcing node, which has the version and is known to run.
+[[nodiscard]] std::vector<std::string> fetch_order(std::vector<std::string> readers,
+                                                   const std::string& announcing_node);
+
 /// Keeps the configuration up to date: a few nodes of each data centre read the store and send changes to the
 /// others. A node that receives nothing from any reader reads the store itself. Belongs to one event loop.
 class config_feed {
--- a/src/pomeloloft/sidecar/config_feed.cpp
+++ b/src/pomeloloft/sidecar/config_feed.cpp
@@ -115,6 +115,17 @@
     return out;
 }
 
+std::vector<std::string> fetch_order(std::vector<std::string> readers, const std::string& announcing_node)
+{
+    const auto announcing = std::find(readers.begin(), readers.end(), announcing_node);
+    if (announcing == readers.end()) {
+        readers.push_back(announcing_node);
+    } else {
+        std::rotate(readers.begin(), announcing, announcing + 1);
+    }
+    return readers;
+}
+
 config_feed::config_feed(net::event_loop& io_loop, sidecar_state& process_state, shared_store& platform_store,
                          config_decoder decoder, net::client_pool& peers)
     : loop(io_loop), shared(process_state), store(platform_store), decode(std::move(decoder)), pool(peers),
@@ -462,11 +473,8 @@
     }
     const bool arrived = config_version(this->shared) > previous;
     if (!arrived) {
-        // Readers are tried first, as they are close and have good links; the announcing node may have
-        // neither.
-        std::vector<std::string> sources =
-            config_readers(this->shared.members, this->shared.local_settings.data_centre);
-        sources.push_back(node);
+        const std::vector<std::string> sources =
+            fetch_order(config_readers(this->shared.members, this->shared.local_settings.data_centre), node);
         for (const std::string& source : sources) {
             if (source == this->shared.local_settings.node) {
                 continue;
--- a/src/pomeloloft/sidecar/config_feed_test.cpp
+++ b/src/pomeloloft/sidecar/config_feed_test.cpp
@@ -51,6 +51,18 @@
     {"none if no node reaches the store", {{"a1", "a", 100, false}, {"b1", "b", 100, false}}, {}},
 };
 
+struct fetch_row : testing::named_row {
+    const char* announcing_node;
+    /// Nodes asked if `a1` and `a2` are the readers.
+    std::vector<std::string> order;
+};
+
+const fetch_row fetch_rows[] = {
+    {"the first reader", "a1", {"a1", "a2"}},
+    {"the second reader", "a2", {"a2", "a1"}},
+    {"another node", "a7", {"a1", "a2", "a7"}},
+};
+
 member_table table_of(const std::vector<member_row>& rows)
 {
     member_table out;
@@ -315,6 +327,14 @@
     BOOST_TEST(chosen == row.readers, boost::test_tools::per_element());
 }
 
+// Guards against a version that is late because the first reader, which has frozen, is asked before the one
+// that announces it.
+BOOST_DATA_TEST_CASE(an_announced_version_is_fetched_from_the_reader_that_announces_it,
+                     boost::unit_test::data::make(fetch_rows), row)
+{
+    BOOST_TEST(fetch_order({"a1", "a2"}, row.announcing_node) == row.order, boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_CASE(an_unreachable_store_is_checked_until_it_recovers)
 {
     net::event_loop loop;
