Wait up to 5 s for a change of the configuration

Since a lost read is noticed by pings, a long poll may last longer, which halves the reads of a quiet reader.

--- a/src/pomeloloft/sidecar/config_feed.cpp
+++ b/src/pomeloloft/sidecar/config_feed.cpp
@@ -19,8 +19,9 @@
 namespace pomeloloft::sidecar {
 namespace {
 
-/// Time that the store may wait for a change.
-constexpr milliseconds long_poll_duration{2500};
+/// Time that the store may wait for a change. A read that is lost is noticed by pings, so longer only saves
+/// calls.
+constexpr milliseconds long_poll_duration{5000};
 /// Interval at which a node that waits for a change checks that the store responds, and the time in which it
 /// responds. With `store_check_timeout` they bound how long a reader that has lost the store keeps others
 /// from reading it.
