--- a/src/pomeloloft/sidecar/gate.cpp
+++ b/src/pomeloloft/sidecar/gate.cpp
@@ -383,8 +383,8 @@
         ++this->counters.crashes_on_new_connections;
         out.crash = this->record_crash(fingerprint_of(sent, names), steady_clock::now());
     } else if (end == net::exchange_end::lost || end == net::exchange_end::timed_out) {
-        out.crash =
-            co_await this->find_crash(fingerprint_of(sent, names), started, end == net::exchange_end::timed_out);
+        out.crash = co_await this->find_crash(fingerprint_of(sent, names), started,
+                                              end == net::exchange_end::timed_out);
     }
     co_return out;
 }
--- a/src/pomeloloft/sidecar/outbound_router.cpp
+++ b/src/pomeloloft/sidecar/outbound_router.cpp
@@ -134,7 +134,8 @@
 bool outbound_router::is_crash_suspect(const net::request& received, time_point now) const
 {
     return !this->shared.suspects.empty() &&
-           this->shared.suspects.is_quarantined(fingerprint_of(received, this->shared.local_settings.headers), now);
+           this->shared.suspects.is_quarantined(fingerprint_of(received, this->shared.local_settings.headers),
+                                                now);
 }
 
 void outbound_router::update_crash_suspects(const net::request& received,
@@ -142,7 +143,8 @@
 {
     const time_point now = steady_clock::now();
     if (!call_result.crash.empty()) {
-        this->shared.suspects.add({fingerprint_of(received, this->shared.local_settings.headers), call_result.crash}, now);
+        this->shared.suspects.add(
+            {fingerprint_of(received, this->shared.local_settings.headers), call_result.crash}, now);
     } else if (call_result.outcome == attempt_outcome::answered && !this->shared.suspects.empty()) {
         this->shared.suspects.clear(fingerprint_of(received, this->shared.local_settings.headers), now);
     }
--- a/src/pomeloloft/sidecar/peer_forwarding.cpp
+++ b/src/pomeloloft/sidecar/peer_forwarding.cpp
@@ -108,7 +108,8 @@
         out.detail = "cannot connect to the peer";
         co_return out;
     }
-    const dispatch_verdict verdict = decide_dispatch(sent, call, this->shared.suspects, this->shared.local_settings.headers);
+    const dispatch_verdict verdict =
+        decide_dispatch(sent, call, this->shared.suspects, this->shared.local_settings.headers);
     if (verdict != dispatch_verdict::send) {
         this->pool.release(address, std::move(connected.value()));
         out.outcome = outcome_of(verdict);
--- a/test/integration/sidecar_fleet.cpp
+++ b/test/integration/sidecar_fleet.cpp
@@ -72,9 +72,7 @@
 
 } // namespace
 
-sidecar_fleet::sidecar_fleet(std::size_t size)
-    : sidecar_fleet(std::vector<std::string>(size, "register"))
-{}
+sidecar_fleet::sidecar_fleet(std::size_t size) : sidecar_fleet(std::vector<std::string>(size, "register")) {}
 
 sidecar_fleet::sidecar_fleet(const std::vector<std::string>& services)
     : loop(1), store(this->loop), nodes(services.size()),
