Count a crash of a restarted target although nothing was sent to it before

A sidecar numbers the crashes of its target, so that all requests in flight count one crash together, and takes a loss for the same crash unless the target was alive in between. Only responses and connections of its own counted as signs of life. When the target's report of its new start came before the sidecar's next try to connect, and the first request after it was the crashing one, the crash had the number of the one before and was ignored.

Fix: the report of a new start is a sign of life. Late reports of the same start are none: they may be older than the crash.

Evidence: crashing_requests_test the_first_request_after_a_restart_of_its_target_counts_as_another_crash, red before: 6 crashes where 3 are allowed, and no refusal after them.

Ruled out: a clearance (no suspect-cleared line for the crashing request), an expired observation (the first ones were 9 s old).

--- a/include/pomeloloft/sidecar/crash_check.hpp
+++ b/include/pomeloloft/sidecar/crash_check.hpp
@@ -8,7 +8,7 @@
 
 /// Evidence that the target responds, and the crashes observed.
 struct target_liveness {
-    /// Last response or accepted connection.
+    /// Last response, accepted connection or report of a new start.
     time_point last_alive_at;
     time_point last_crash_at;
     std::uint64_t crashes = 0;
--- a/include/pomeloloft/sidecar/gate.hpp
+++ b/include/pomeloloft/sidecar/gate.hpp
@@ -54,6 +54,9 @@
     /// Resets failure statistics and grants free slots after the target's state has changed.
     void handle_target_change();
 
+    /// Called when the target has reported a new start, so that its next crash is another one.
+    void handle_target_start();
+
     /// State of the target that this sidecar serves.
     target_record target;
 
--- a/src/pomeloloft/sidecar/daemon.cpp
+++ b/src/pomeloloft/sidecar/daemon.cpp
@@ -316,7 +316,7 @@
                                    {"sequence", reported.sequence}});
     }
     if (effect == report_effect::started) {
-        this->gate.handle_target_change();
+        this->gate.handle_target_start();
         this->publish();
     } else if (effect == report_effect::refreshed && !this->gate.reachable()) {
         this->gate.handle_target_change();
--- a/test/integration/crashing_requests_test.cpp
+++ b/test/integration/crashing_requests_test.cpp
@@ -176,6 +176,27 @@
     BOOST_TEST(fleet.call(crashing_node, read_request(crashing_path, "last")).status == 503);
 }
 
+// Guards against a crash that is taken for the one before, because nothing was sent to the restarted target
+// in between.
+BOOST_AUTO_TEST_CASE(the_first_request_after_a_restart_of_its_target_counts_as_another_crash)
+{
+    sidecar_fleet fleet(1);
+    sidecar_node& node = fleet.nodes[0];
+    node.target->crash_path = crashing_path;
+    node.target->downtime = milliseconds(200);
+    for (int round = 0; round < 6; ++round) {
+        const std::string id = std::to_string(round);
+        fleet.call(0, read_request(crashing_path, "c" + id));
+        // The report of the next instance arrives before the sidecar has tried to connect.
+        node.target->instance = "i-0-" + id;
+        ++node.target_started_at_ms;
+        BOOST_TEST(fleet.heartbeat(0) == 200);
+        fleet.run_for(2 * node.target->downtime);
+    }
+    BOOST_TEST(node.target->crashes == 3);
+    BOOST_TEST(fleet.call(0, read_request(crashing_path, "last")).status == 503);
+}
+
 BOOST_AUTO_TEST_CASE(a_quarantine_holds_after_a_restart_of_all_sidecars)
 {
     sidecar_fleet fleet(3);
