--- a/src/pomeloloft/sidecar/config_feed_test.cpp
+++ b/src/pomeloloft/sidecar/config_feed_test.cpp
@@ -125,7 +125,7 @@
         const time_point answered_by = steady_clock::now() + max_wait;
         const bool lost = co_await this->wait(
             silences_before, [&] { return this->newest > this->read || steady_clock::now() >= answered_by; },
-            steady_clock::now() + max_read_time);
+            answered_by + max_read_time);
         if (lost) {
             co_return error{error_code::timeout, "store", "silent"};
         }
@@ -149,7 +149,7 @@
     }
 
 private:
-    /// Longest time that a read of the platform's store takes.
+    /// Longest time that the platform's store takes for a read, beyond that for which it may wait.
     static constexpr milliseconds max_read_time{4000};
     static constexpr milliseconds poll_interval{10};
 
@@ -280,19 +280,19 @@
 };
 
 /// An outage of the store, after which the operator publishes a version.
-net::task<void> publish_after_outage(lone_node& alone, milliseconds start, milliseconds outage,
+net::task<void> publish_after_outage(lone_node& tested, milliseconds start, milliseconds outage,
                                      milliseconds& delay)
 {
     constexpr milliseconds publish_delay{50};
     constexpr milliseconds poll{10};
     co_await net::sleep_for(start);
-    alone.node.store.set_silent(true);
+    tested.node.store.set_silent(true);
     co_await net::sleep_for(outage);
-    alone.node.store.set_silent(false);
+    tested.node.store.set_silent(false);
     const time_point ended = steady_clock::now();
     co_await net::sleep_for(publish_delay);
-    alone.newest = 2;
-    while (config_version(alone.node.shared) < 2) {
+    tested.newest = 2;
+    while (config_version(tested.node.shared) < 2) {
         co_await net::sleep_for(poll);
     }
     delay = std::chrono::duration_cast<milliseconds>(steady_clock::now() - ended);
