Tests for what was found on the way; the stand-in store knows the calls that sidecars make

It now answers log-join, continues pages after a key, and answers 404 to what it does not know.

Two decisions of the configuration feed are functions with tables: what a node pushes to a data centre, and the time for an abandoned read. One copy of read_request for the tests of sidecars. The unit tests of the store's client stop when they are done, as the whole program came near its limit of 120 s.

--- a/include/pomeloloft/sidecar/config_feed.hpp
+++ b/include/pomeloloft/sidecar/config_feed.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <string>
@@ -31,6 +32,27 @@
 [[nodiscard]] std::vector<std::string> fetch_order(std::vector<std::string> readers,
                                                    const std::string& announcing_node);
 
+/// What a node sends to the nodes of a data centre.
+enum class push_content : std::uint8_t {
+    nothing,
+    /// The version that it holds.
+    version,
+    /// The version, and what has changed since the one before.
+    delta,
+};
+
+/// What decides about a push to a data centre.
+struct push_facts {
+    /// The node has just read a new version; otherwise it confirms the one it holds.
+    bool has_delta = false;
+    bool is_reader = false;
+    /// The node is the first of the live readers.
+    bool is_lead_reader = false;
+};
+
+/// One reader sends a delta. The others announce a new version at once too: the lead may not have it.
+[[nodiscard]] push_content decide_push(const push_facts& facts);
+
 /// Keeps the configuration up to date: a few nodes of each data centre read the store and send changes to the
 /// others. A node that receives nothing from any reader reads the store itself. Belongs to one event loop.
 class config_feed {
--- a/include/pomeloloft/sidecar/store_polling.hpp
+++ b/include/pomeloloft/sidecar/store_polling.hpp
@@ -29,4 +29,8 @@
 /// second failure, and then only covers for probers that cannot reach it either.
 [[nodiscard]] milliseconds store_retry_pause(const store_poll_state& state);
 
+/// Time after which a read that need not wait for a change is checked. The load is a document that takes
+/// seconds over a narrow link: the time doubles with each read that was abandoned, so that the transfer ends.
+[[nodiscard]] milliseconds read_patience(std::uint32_t abandoned_reads);
+
 } // namespace pomeloloft::sidecar
--- a/src/pomeloloft/net/exchange_test.cpp
+++ b/src/pomeloloft/net/exchange_test.cpp
@@ -89,6 +89,45 @@
     std::uint64_t announced_bytes = 0;
 };
 
+/// A listener whose handler returns a given response.
+struct fixed_remote {
+    explicit fixed_remote(response fixed) : returned(std::move(fixed))
+    {
+        auto opened =
+            server::start(this->loop, "127.0.0.1:0", "test", [this](request&) { return this->handle(); });
+        BOOST_REQUIRE(opened);
+        this->listener = opened.value();
+    }
+
+    task<reply> handle()
+    {
+        reply out{this->returned};
+        co_return out;
+    }
+
+    event_loop loop;
+    response returned;
+    std::shared_ptr<server> listener;
+};
+
+/// Sends a request and keeps its connection if it can be reused.
+task<void> send_request(fixed_remote& to, client_pool& pool, exchange_result& out, std::size_t& idle)
+{
+    const tcp::endpoint address{asio::ip::make_address("127.0.0.1"), to.listener->port()};
+    const time_point deadline = steady_clock::now() + milliseconds{1000};
+    auto connected = co_await pool.connect(address, deadline);
+    BOOST_REQUIRE(connected);
+    request sent{http::verb::get, "/", 11};
+    exchange_options options;
+    options.deadline = deadline;
+    out = co_await exchange(*connected.value(), sent, options);
+    if (out.reusable) {
+        pool.release(address, std::move(connected.value()));
+    }
+    idle = pool.take_idle(address, milliseconds{8000}) ? 1 : 0;
+    to.loop.stop();
+}
+
 task<void> send_expecting_request(remote& to, client_pool& pool, exchange_result& out)
 {
     const time_point deadline = steady_clock::now() + milliseconds{2000};
@@ -130,6 +169,38 @@
     BOOST_TEST(to.reservation.use_count() == 1);
 }
 
+// Guards against a response without a length whose receiver waits for the end of a connection that stays
+// open.
+BOOST_AUTO_TEST_CASE(a_connection_ends_after_a_response_without_a_length)
+{
+    response unframed{http::status::ok, 11};
+    unframed.body() = "whole";
+    fixed_remote to(unframed);
+    client_pool pool(to.loop, {});
+    exchange_result ended;
+    std::size_t idle = 0;
+    spawn(to.loop, send_request(to, pool, ended, idle), "send-request");
+    to.loop.run_for(milliseconds{3000});
+    BOOST_TEST(name_of(exchange_end_names, ended.end) == "answered");
+    BOOST_TEST(ended.response.body() == "whole");
+    BOOST_TEST(!ended.reusable);
+}
+
+// Guards against an idle time of a remote that is beyond the range of the clock.
+BOOST_AUTO_TEST_CASE(a_connection_with_a_very_long_idle_time_is_reused)
+{
+    response kept = make_response(http::status::ok, "kept");
+    kept.set(http::field::keep_alive, "timeout=2147483647");
+    fixed_remote to(kept);
+    client_pool pool(to.loop, {});
+    exchange_result ended;
+    std::size_t idle = 0;
+    spawn(to.loop, send_request(to, pool, ended, idle), "send-request");
+    to.loop.run_for(milliseconds{3000});
+    BOOST_TEST(ended.reusable);
+    BOOST_TEST(idle == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace pomeloloft::net
--- a/src/pomeloloft/sidecar/config_feed.cpp
+++ b/src/pomeloloft/sidecar/config_feed.cpp
@@ -92,6 +92,14 @@
     return readers;
 }
 
+push_content decide_push(const push_facts& facts)
+{
+    if (facts.has_delta && facts.is_lead_reader) {
+        return push_content::delta;
+    }
+    return facts.is_reader ? push_content::version : push_content::nothing;
+}
+
 config_feed::config_feed(net::event_loop& io_loop, sidecar_state& process_state, shared_store& platform_store,
                          config_decoder decoder, net::client_pool& peers)
     : loop(io_loop), shared(process_state), store(platform_store), decode(std::move(decoder)), pool(peers),
@@ -160,11 +168,10 @@
 void config_feed::push(const std::string& delta)
 {
     for (const std::string& data_centre : data_centres_of(this->shared.members)) {
-        // One reader sends a delta. The other announces the version at once, as the lead may not have it.
-        if (!delta.empty() && this->is_lead_reader(data_centre)) {
-            this->push_to(data_centre, delta);
-        } else if (this->reads_for(data_centre)) {
-            this->push_to(data_centre, {});
+        const push_content content =
+            decide_push({!delta.empty(), this->reads_for(data_centre), this->is_lead_reader(data_centre)});
+        if (content != push_content::nothing) {
+            this->push_to(data_centre, content == push_content::delta ? delta : std::string{});
         }
     }
 }
--- a/src/pomeloloft/sidecar/config_feed_store.cpp
+++ b/src/pomeloloft/sidecar/config_feed_store.cpp
@@ -1,4 +1,3 @@
-#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -21,10 +20,6 @@
 /// from reading it.
 constexpr milliseconds ping_interval{400};
 constexpr milliseconds ping_timeout{400};
-/// Time after which a read that need not wait is checked. It doubles with each read that was abandoned, as
-/// the transfer of a document takes seconds on a narrow link.
-constexpr milliseconds read_patience{1000};
-constexpr std::uint32_t max_patience_doublings = 2;
 /// Time in which a call to an unreachable store may still be answered, by a store that has become slow.
 constexpr milliseconds recovery_check_timeout{4000};
 /// Mean interval at which a node that lost the store checks it while others read it for this node.
@@ -149,8 +144,7 @@
 net::task<void> config_feed::supervise_read(milliseconds max_wait)
 {
     if (max_wait.count() == 0) {
-        const std::uint32_t doublings = std::min(this->abandoned_reads, max_patience_doublings);
-        co_await net::sleep_for(read_patience * (1U << doublings));
+        co_await net::sleep_for(read_patience(this->abandoned_reads));
     } else {
         bool responds = true;
         while (responds) {
--- a/src/pomeloloft/sidecar/config_feed_test.cpp
+++ b/src/pomeloloft/sidecar/config_feed_test.cpp
@@ -63,6 +63,19 @@
     {"another node", "a7", {"a1", "a2", "a7"}},
 };
 
+struct push_row : testing::named_row {
+    push_facts facts;
+    push_content content;
+};
+
+const push_row push_rows[] = {
+    {"the lead has a new version", {true, true, true}, push_content::delta},
+    {"another reader has a new version", {true, true, false}, push_content::version},
+    {"the lead confirms its version", {false, true, true}, push_content::version},
+    {"another reader confirms its version", {false, true, false}, push_content::version},
+    {"no reader", {true, false, false}, push_content::nothing},
+};
+
 member_table table_of(const std::vector<member_row>& rows)
 {
     member_table out;
@@ -327,6 +340,12 @@
     BOOST_TEST(chosen == row.readers, boost::test_tools::per_element());
 }
 
+BOOST_DATA_TEST_CASE(one_reader_sends_the_delta_and_all_announce_the_version,
+                     boost::unit_test::data::make(push_rows), row)
+{
+    BOOST_TEST((decide_push(row.facts) == row.content));
+}
+
 // Guards against a version that is late because the first reader, which has frozen, is asked before the one
 // that announces it.
 BOOST_DATA_TEST_CASE(an_announced_version_is_fetched_from_the_reader_that_announces_it,
@@ -379,7 +398,11 @@
         net::spawn(loop, fleet[i]->node.feed.follow_store(), "follow");
         net::spawn(loop, publish_after_outage(*fleet[i], start_step * (i + 1), outage, delays[i]), "publish");
     }
-    loop.run_for(start_step * nodes + outage + 2 * stable_window);
+    const time_point last_check = steady_clock::now() + start_step * nodes + outage + 2 * stable_window;
+    const auto is_late = [&](milliseconds delay) { return delay > stable_window; };
+    while (std::any_of(delays.begin(), delays.end(), is_late) && steady_clock::now() < last_check) {
+        loop.run_for(milliseconds{100});
+    }
     for (std::size_t i = 0; i < nodes; ++i) {
         BOOST_TEST_CONTEXT("outage " << i)
         {
--- a/src/pomeloloft/sidecar/store_polling.cpp
+++ b/src/pomeloloft/sidecar/store_polling.cpp
@@ -41,4 +41,11 @@
     return std::min(min_pause * (1U << doublings), max_pause);
 }
 
+milliseconds read_patience(std::uint32_t abandoned_reads)
+{
+    constexpr milliseconds first{1000};
+    constexpr std::uint32_t max_doublings = 2;
+    return first * (1U << std::min(abandoned_reads, max_doublings));
+}
+
 } // namespace pomeloloft::sidecar
--- a/src/pomeloloft/sidecar/store_polling_test.cpp
+++ b/src/pomeloloft/sidecar/store_polling_test.cpp
@@ -63,6 +63,14 @@
     BOOST_TEST(store_retry_pause(row.state).count() == row.pause.count());
 }
 
+BOOST_AUTO_TEST_CASE(an_abandoned_read_gets_more_time_the_next_time)
+{
+    BOOST_TEST(read_patience(0).count() == 1000);
+    BOOST_TEST(read_patience(1).count() == 2000);
+    BOOST_TEST(read_patience(2).count() == 4000);
+    BOOST_TEST(read_patience(40).count() == 4000);
+}
+
 BOOST_AUTO_TEST_CASE(each_data_centre_has_two_probers)
 {
     const member_table members = fleet(6, 44);
--- a/src/pomeloloft/sidecar/suspects_test.cpp
+++ b/src/pomeloloft/sidecar/suspects_test.cpp
@@ -1,3 +1,4 @@
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -208,6 +209,25 @@
     }
 }
 
+// Guards against times of another writer that are beyond the range of the clock.
+BOOST_AUTO_TEST_CASE(times_out_of_range_neither_clear_a_suspect_nor_count)
+{
+    const time_point now = steady_clock::now();
+    constexpr milliseconds lowest{std::numeric_limits<std::int64_t>::min()};
+    crash_suspects suspects;
+    for (const char* crash : {"n1#5.1", "n2#6.1", "n3#7.1"}) {
+        BOOST_TEST(!suspects.clear({crashing_request, lowest}, now));
+        suspects.add({crashing_request, crash}, now);
+        suspects.add({answered_request, crash, lowest}, now);
+    }
+    BOOST_TEST(suspects.is_quarantined(crashing_request, now));
+    BOOST_TEST(suspects.crash_count(answered_request, now) == 0U);
+    const auto past = decode_quarantine(
+        R"({"crashes":[{"fingerprint":1,"crash":"a","expires_at_ms":-9223372036854775808}]})", 2);
+    BOOST_REQUIRE(past);
+    BOOST_TEST(past.value().empty());
+}
+
 BOOST_AUTO_TEST_CASE(a_quarantine_is_stored_although_an_expired_one_had_as_many_crashes)
 {
     const std::vector<crash_observation> stored{{crashing_request, "n1#5.1"}, {crashing_request, "n2#6.1"}};
--- a/test/integration/crashing_requests_test.cpp
+++ b/test/integration/crashing_requests_test.cpp
@@ -19,11 +19,10 @@
 constexpr milliseconds stable_window{3000};
 constexpr int max_late_arrivals = 3;
 
-caller_request read_request(const std::string& path, const std::string& id)
+caller_request request_for(const std::string& path, const std::string& id)
 {
-    caller_request out;
+    caller_request out = read_request(id);
     out.path = path;
-    out.id = id;
     return out;
 }
 
@@ -80,9 +79,9 @@
     std::vector<caller_request> requests;
     for (int i = 0; i < others; ++i) {
         const std::string id = std::to_string(round) + "-" + std::to_string(i);
-        requests.push_back(read_request("/read/" + id, "o" + id));
+        requests.push_back(request_for("/read/" + id, "o" + id));
     }
-    requests.push_back(read_request(crashing_path, "c" + std::to_string(round)));
+    requests.push_back(request_for(crashing_path, "c" + std::to_string(round)));
     fleet.call_all(node, requests);
 }
 
@@ -102,7 +101,7 @@
     int round = 0;
     const auto warm_connections = [&] {
         for (std::size_t node = 0; node < fleet.nodes.size(); ++node) {
-            fleet.call(node, read_request("/read/warm", "w" + std::to_string(round) + std::to_string(node)));
+            fleet.call(node, request_for("/read/warm", "w" + std::to_string(round) + std::to_string(node)));
         }
     };
     const time_point give_up_at = steady_clock::now() + milliseconds(20'000);
@@ -128,9 +127,9 @@
     for (std::size_t node = 0; node < fleet.nodes.size(); ++node) {
         const std::string id = std::to_string(node);
         BOOST_TEST(fleet.run_until(
-            [&] { return fleet.call(node, read_request("/read/warm", "after" + id)).status == 200; },
+            [&] { return fleet.call(node, request_for("/read/warm", "after" + id)).status == 200; },
             milliseconds(2000)));
-        BOOST_TEST(fleet.call(node, read_request(crashing_path, "last" + id)).status == 503);
+        BOOST_TEST(fleet.call(node, request_for(crashing_path, "last" + id)).status == 503);
     }
 }
 
@@ -150,9 +149,9 @@
         const std::string id = std::to_string(round++);
         for (std::size_t node = 0; node < crashing_node; ++node) {
             const std::string other = "o" + id + "-" + std::to_string(node);
-            served += fleet.call(node, read_request(crashing_path, other)).status == 200 ? 1 : 0;
+            served += fleet.call(node, request_for(crashing_path, other)).status == 200 ? 1 : 0;
         }
-        fleet.call(crashing_node, read_request(crashing_path, "c" + id));
+        fleet.call(crashing_node, request_for(crashing_path, "c" + id));
         fleet.run_for(milliseconds(100));
     };
     const time_point give_up_at = steady_clock::now() + milliseconds(20'000);
@@ -173,7 +172,7 @@
     BOOST_TEST(arrivals_from(fleet, "gallery") - arrivals_in_window <= max_late_arrivals);
     // The requests of the other service stay allowed.
     BOOST_TEST(served > served_in_window);
-    BOOST_TEST(fleet.call(crashing_node, read_request(crashing_path, "last")).status == 503);
+    BOOST_TEST(fleet.call(crashing_node, request_for(crashing_path, "last")).status == 503);
 }
 
 // Guards against a crash that is taken for the one before, because nothing was sent to the restarted target
@@ -186,7 +185,7 @@
     node.target->downtime = milliseconds(200);
     for (int round = 0; round < 6; ++round) {
         const std::string id = std::to_string(round);
-        fleet.call(0, read_request(crashing_path, "c" + id));
+        fleet.call(0, request_for(crashing_path, "c" + id));
         // The report of the next instance arrives before the sidecar has tried to connect.
         node.target->instance = "i-0-" + id;
         ++node.target_started_at_ms;
@@ -194,7 +193,7 @@
         fleet.run_for(2 * node.target->downtime);
     }
     BOOST_TEST(node.target->crashes == 3);
-    BOOST_TEST(fleet.call(0, read_request(crashing_path, "last")).status == 503);
+    BOOST_TEST(fleet.call(0, request_for(crashing_path, "last")).status == 503);
 }
 
 BOOST_AUTO_TEST_CASE(a_quarantine_holds_after_a_restart_of_all_sidecars)
@@ -225,8 +224,8 @@
         BOOST_TEST(fleet.run_until([&] { return fleet.readiness(node) == 200; }));
         const std::string id = std::to_string(node);
         BOOST_TEST(fleet.run_until(
-            [&] { return fleet.call(node, read_request("/read/warm", "after" + id)).status == 200; }));
-        BOOST_TEST(fleet.call(node, read_request(crashing_path, "last" + id)).status == 503);
+            [&] { return fleet.call(node, request_for("/read/warm", "after" + id)).status == 200; }));
+        BOOST_TEST(fleet.call(node, request_for(crashing_path, "last" + id)).status == 503);
     }
     BOOST_TEST(arrivals(fleet) == arrivals_before);
 }
--- a/test/integration/odd_entries_test.cpp
+++ b/test/integration/odd_entries_test.cpp
@@ -11,13 +11,6 @@
 namespace pomeloloft::testing {
 namespace {
 
-caller_request read_request(const std::string& id)
-{
-    caller_request out;
-    out.id = id;
-    return out;
-}
-
 /// A report that another writer may send to the address of a node.
 struct odd_report_row : named_row {
     std::string id;
--- a/test/integration/sidecar_fleet.cpp
+++ b/test/integration/sidecar_fleet.cpp
@@ -72,6 +72,13 @@
 
 } // namespace
 
+caller_request read_request(const std::string& id)
+{
+    caller_request out;
+    out.id = id;
+    return out;
+}
+
 sidecar_fleet::sidecar_fleet(std::size_t size) : sidecar_fleet(std::vector<std::string>(size, "register")) {}
 
 sidecar_fleet::sidecar_fleet(const std::vector<std::string>& services)
--- a/test/integration/sidecar_fleet.hpp
+++ b/test/integration/sidecar_fleet.hpp
@@ -23,6 +23,9 @@
     milliseconds time_left{1000};
 };
 
+/// A read of an idempotent route.
+[[nodiscard]] caller_request read_request(const std::string& id);
+
 /// The response to a caller, or how the exchange failed.
 struct caller_response {
     net::exchange_end end = net::exchange_end::lost;
--- a/test/integration/sidecar_test.cpp
+++ b/test/integration/sidecar_test.cpp
@@ -15,13 +15,6 @@
 namespace pomeloloft::testing {
 namespace {
 
-caller_request read_request(const std::string& id)
-{
-    caller_request out;
-    out.id = id;
-    return out;
-}
-
 caller_request write_request(const std::string& id)
 {
     caller_request out;
--- a/test/stand_ins/platform_store.cpp
+++ b/test/stand_ins/platform_store.cpp
@@ -138,8 +138,12 @@
         out = this->append(query, received.body());
     } else if (uri.getPath() == "/api/log-read") {
         out = co_await this->read(query);
-    } else {
+    } else if (uri.getPath() == "/api/log-newest") {
         out = this->read_newest(query);
+    } else if (uri.getPath() == "/api/log-join") {
+        out = this->join(received.body());
+    } else {
+        out = json_reply(status::not_found, json::object());
     }
     if (this->mode == store_mode::loses_responses) {
         out = connection_close_reply();
@@ -202,15 +206,34 @@
     co_return net::reply(net::reply{net::make_response(status::ok, std::move(out))});
 }
 
-net::reply platform_store::read_newest(const std::map<std::string, std::string>& query)
+net::reply platform_store::read_newest(const std::map<std::string, std::string>& query) const
 {
-    const topic_log& log = this->topics[query.at("Topic")];
+    if (!this->newest_body.empty()) {
+        return {net::make_response(status::ok, this->newest_body, "application/json")};
+    }
+    const auto found = this->topics.find(query.at("Topic"));
+    const topic_log log = found == this->topics.end() ? topic_log{} : found->second;
+    const auto after = query.find("after");
+    auto next = after == query.end() ? log.newest.begin() : log.newest.upper_bound(after->second);
     json items = json::array();
-    for (const auto& [key, r] : log.newest) {
-        items.push_back({{"Key", key}, {"Value", encode_base64(r.value)}, {"Offset", 0}});
+    for (; next != log.newest.end() && items.size() < this->page_size; ++next) {
+        items.push_back({{"Key", next->first}, {"Value", encode_base64(next->second.value)}, {"Offset", 0}});
+    }
+    return json_reply(status::ok, {{"items", items},
+                                   {"HasMore", next != log.newest.end()},
+                                   {"End", log.first_offset + log.records.size()}});
+}
+
+net::reply platform_store::join(const std::string& body)
+{
+    const json in = json::parse(body, nullptr, false);
+    for (const char* field : {"group", "Member", "Topics", "TtlMs", "Generation"}) {
+        if (!in.is_object() || !in.contains(field)) {
+            return json_reply(status::bad_request, {{"missing", field}});
+        }
     }
-    return json_reply(status::ok,
-                      {{"items", items}, {"HasMore", false}, {"End", log.first_offset + log.records.size()}});
+    ++this->join_count;
+    return json_reply(status::ok, {{"Generation", 7}, {"TtlMs", in["TtlMs"]}, {"parts", json::array()}});
 }
 
 } // namespace pomeloloft
--- a/test/stand_ins/platform_store.hpp
+++ b/test/stand_ins/platform_store.hpp
@@ -49,6 +49,13 @@
     store_mode mode = store_mode::healthy;
     /// Number of requests received.
     std::uint64_t call_count = 0;
+    /// Number of times that members joined their group or stayed in it.
+    std::uint64_t join_count = 0;
+    /// Records on a page of the newest ones.
+    std::size_t page_size = 500;
+    /// Body of the next responses to reads of the newest records, in place of the correct one; empty for
+    /// none.
+    std::string newest_body;
 
 private:
     struct record {
@@ -67,7 +74,8 @@
     net::task<net::reply> handle(net::request& received);
     net::reply append(const std::map<std::string, std::string>& query, const std::string& body);
     net::task<net::reply> read(std::map<std::string, std::string> query);
-    net::reply read_newest(const std::map<std::string, std::string>& query);
+    net::reply read_newest(const std::map<std::string, std::string>& query) const;
+    net::reply join(const std::string& body);
     void append_record(topic_log& log, record new_record);
 
     std::map<std::string, topic_log> topics;
