--- a/src/pomeloloft/sync/link.cpp
+++ b/src/pomeloloft/sync/link.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "distribution.pb.h"
+#include "pomeloloft/sync/wire_member.hpp"
 
 namespace pomeloloft {
 namespace {
@@ -19,39 +20,6 @@
 /// Log age in a heartbeat whose sender does not know of any read of the log's end.
 constexpr std::uint64_t unknown_age_ms = ~std::uint64_t{0};
 
-wire::Member to_wire(const member& m)
-{
-    wire::Member out;
-    out.set_node(m.node);
-    out.set_incarnation(m.incarnation);
-    out.set_sequence(m.sequence);
-    out.set_state(static_cast<std::uint32_t>(m.state));
-    out.set_data_centre(m.data_centre);
-    out.set_service(m.service);
-    out.set_peer_address(m.peer_address);
-    out.set_control_address(m.control_address);
-    out.set_owner(m.owner);
-    return out;
-}
-
-std::optional<member> from_wire(const wire::Member& in)
-{
-    if (in.node().empty() || in.state() >= member_state_names.size()) {
-        return std::nullopt;
-    }
-    member out;
-    out.node = in.node();
-    out.incarnation = in.incarnation();
-    out.sequence = in.sequence();
-    out.state = static_cast<member_state>(in.state());
-    out.data_centre = in.data_centre();
-    out.service = in.service();
-    out.peer_address = in.peer_address();
-    out.control_address = in.control_address();
-    out.owner = in.owner();
-    return out;
-}
-
 std::uint64_t log_age_ms(const sync_state& state, time_point now)
 {
     if (!state.log_end_ever_read) {
@@ -69,25 +37,6 @@
     out.set_member_digest(combined_digest(state.members));
 }
 
-template <typename Repeated>
-void fill_digest(Repeated& out, const member_table& table)
-{
-    for (const std::uint64_t bucket : table.digest) {
-        out.Add(bucket);
-    }
-}
-
-template <typename Repeated>
-std::optional<table_digest> read_digest(const Repeated& in)
-{
-    if (static_cast<std::size_t>(in.size()) != digest_buckets) {
-        return std::nullopt;
-    }
-    table_digest out{};
-    std::copy(in.begin(), in.end(), out.begin());
-    return out;
-}
-
 wire::Frame hello_frame(sync_state& state, link_state& link, time_point now)
 {
     wire::Frame frame;
@@ -97,7 +46,7 @@
     hello.set_data_centre(state.data_centre);
     hello.set_kind(link.kind == link_kind::child ? wire::CHILD : wire::PEER);
     fill_heartbeat(*hello.mutable_state(), state, now);
-    fill_digest(*hello.mutable_digest(), state.members);
+    detail::fill_digest(*hello.mutable_digest(), state.members);
     link.hello_sent = true;
     link.next_heartbeat = now + state.options.heartbeat_interval;
     return frame;
@@ -215,7 +164,7 @@
     }
     wire::Frame frame;
     for (const member& m : entries) {
-        *frame.mutable_members()->add_members() = to_wire(m);
+        *frame.mutable_members()->add_members() = detail::to_wire(m);
     }
     frame.mutable_members()->set_initial_done(initial_done);
     link.initial_members_sent = link.initial_members_sent || initial_done;
@@ -246,7 +195,7 @@
     wire::Frame frame;
     fill_heartbeat(*frame.mutable_heartbeat(), state, now);
     if (link.send_digest) {
-        fill_digest(*frame.mutable_heartbeat()->mutable_digest(), state.members);
+        detail::fill_digest(*frame.mutable_heartbeat()->mutable_digest(), state.members);
         link.send_digest = false;
     }
     link.next_heartbeat = now + state.options.heartbeat_interval;
@@ -326,7 +275,7 @@
     if (hello.node() == state.node) {
         return close_with("remote node has the same name as this node");
     }
-    const auto digest = read_digest(hello.digest());
+    const auto digest = detail::read_digest(hello.digest());
     if (!digest) {
         return close_with("hello frame has a member digest of the wrong length");
     }
@@ -393,7 +342,7 @@
 {
     update_remote_position(state, link, heartbeat);
     update_log_end_read_at(state, heartbeat, now);
-    if (const auto digest = read_digest(heartbeat.digest())) {
+    if (const auto digest = detail::read_digest(heartbeat.digest())) {
         queue_differing_members(state, link, *digest);
     }
     const bool differs = heartbeat.member_digest() != combined_digest(state.members);
@@ -409,7 +358,7 @@
 {
     frame_effects effects;
     for (const wire::Member& entry : in.members()) {
-        const auto decoded = from_wire(entry);
+        const auto decoded = detail::from_wire(entry);
         if (!decoded) {
             return close_with("member entry without a node name or with an unknown state");
         }
