pomeloloft proxy: read the log soon after an outage in which it was silent

A read that is not answered holds it for up to 4 s (2 s of waiting, 2 s for the response), and a pause of up to 2 s follows. A change ends the polls of all readers at once, so all can hang alike.

Fix: a read waits 1.5 s and has 1 s more for its response. After a failure reads do not wait, have 2 s, and the pause is at most 0.6 s. So the first answered read begins at most 2.6 s after the log is back, or after a read that began just before.

Price: a reader of a quiet log makes a read each 1.5 s, not 2 s.

--- a/include/pomeloloft/log/log_client.hpp
+++ b/include/pomeloloft/log/log_client.hpp
@@ -42,6 +42,8 @@
     std::uint32_t max_records = 256;
     /// Until when a read past the end of the stream waits for a record.
     time_point wait_deadline;
+    /// Time in which the log must have responded; the default of the client if it is not set.
+    time_point response_deadline = no_deadline;
 };
 
 /// Client of the log service, as three operations. Errors: `unavailable`, `timeout` (an append may have taken
--- a/src/pomeloloft/log/http_log_client.cpp
+++ b/src/pomeloloft/log/http_log_client.cpp
@@ -21,7 +21,7 @@
 using Poco::Net::HTTPRequest;
 using Poco::Net::HTTPResponse;
 
-constexpr long response_timeout_us = 2'000'000;
+constexpr milliseconds default_response_time{2000};
 constexpr int http_too_many_requests = 429;
 
 struct log_response {
@@ -30,11 +30,11 @@
 };
 
 result<log_response> send_request(const std::string& address, HTTPRequest& request, std::string_view body,
-                                  milliseconds wait)
+                                  milliseconds response_time = default_response_time)
 {
     try {
         HTTPClientSession session{Poco::Net::SocketAddress(address)};
-        session.setTimeout(Poco::Timespan(response_timeout_us + wait.count() * Poco::Timespan::MILLISECONDS));
+        session.setTimeout(Poco::Timespan(response_time.count() * Poco::Timespan::MILLISECONDS));
         request.setContentLength(static_cast<std::streamsize>(body.size()));
         session.sendRequest(request) << body;
         HTTPResponse http_response;
@@ -84,7 +84,7 @@
                                     std::string_view data)
 {
     HTTPRequest request(HTTPRequest::HTTP_POST, stream_path(stream) + "/records", HTTPRequest::HTTP_1_1);
-    BOOST_OUTCOME_TRY(auto response, send_request(address, request, data, milliseconds{0}));
+    BOOST_OUTCOME_TRY(auto response, send_request(address, request, data));
     BOOST_OUTCOME_TRY(auto body, parse_body(response));
     try {
         return body.at("offset").get<std::uint64_t>();
@@ -95,12 +95,16 @@
 
 result<log_batch> read_records(const std::string& address, const log_read_request& read)
 {
-    const milliseconds wait = remaining(read.wait_deadline, steady_clock::now());
+    const time_point now = steady_clock::now();
+    const milliseconds wait = remaining(read.wait_deadline, now);
+    const milliseconds response_time = read.response_deadline == no_deadline
+                                           ? wait + default_response_time
+                                           : remaining(read.response_deadline, now);
     HTTPRequest request(HTTPRequest::HTTP_GET,
                         stream_path(read.stream) + "/records?from=" + std::to_string(read.from) + "&max=" +
                             std::to_string(read.max_records) + "&wait_ms=" + std::to_string(wait.count()),
                         HTTPRequest::HTTP_1_1);
-    BOOST_OUTCOME_TRY(auto response, send_request(address, request, {}, wait));
+    BOOST_OUTCOME_TRY(auto response, send_request(address, request, {}, response_time));
     BOOST_OUTCOME_TRY(auto body, parse_body(response));
     try {
         log_batch batch{read_bounds(body), {}};
@@ -117,7 +121,7 @@
 result<log_bounds> stream_bounds(const std::string& address, std::string_view stream)
 {
     HTTPRequest request(HTTPRequest::HTTP_GET, stream_path(stream), HTTPRequest::HTTP_1_1);
-    BOOST_OUTCOME_TRY(auto response, send_request(address, request, {}, milliseconds{0}));
+    BOOST_OUTCOME_TRY(auto response, send_request(address, request, {}));
     BOOST_OUTCOME_TRY(auto body, parse_body(response));
     try {
         return read_bounds(body);
--- a/src/pomeloloft/proxy/log_loop.cpp
+++ b/src/pomeloloft/proxy/log_loop.cpp
@@ -15,7 +15,12 @@
 
 using nlohmann::json;
 
-constexpr milliseconds tail_read_timeout{2000};
+/// Time that a read waits for a new record, and the time beyond it in which the log responds. Together they
+/// bound how long a read that is never answered delays a change.
+constexpr milliseconds tail_wait{1500};
+constexpr milliseconds tail_response_time{1000};
+/// Time in which a log that did not respond to the last read responds to the next one, which does not wait.
+constexpr milliseconds recovery_response_time{2000};
 constexpr milliseconds idle_interval{100};
 constexpr milliseconds scan_interval{2000};
 constexpr milliseconds join_scan_interval{250};
@@ -28,7 +33,8 @@
 /// time and some jitter.
 constexpr milliseconds join_timeout{1500};
 constexpr milliseconds initial_backoff{100};
-constexpr milliseconds max_backoff{2000};
+/// With `recovery_response_time` it bounds the time from the recovery of the log to the first read.
+constexpr milliseconds max_backoff{600};
 constexpr std::uint64_t max_reader_records = 64;
 constexpr std::uint64_t max_snapshot_records = 64;
 /// Number of records after the newest snapshot that makes a new one worth its size.
@@ -221,11 +227,13 @@
     const std::uint64_t from =
         this->board.hub.read([](const sync_state& state) { return state.config.fold->next_offset; });
     // Until the end is reached, reads do not wait for new records, so that a starting node learns the log's
-    // end at once.
-    const time_point wait =
-        steady_clock::now() + (this->reached_log_end ? tail_read_timeout : milliseconds{0});
+    // end at once. Nor do they after a failure: a read that is not answered would delay the next one longer.
+    const bool waits = this->reached_log_end && !this->board.log_unavailable;
+    const time_point wait_deadline = steady_clock::now() + (waits ? tail_wait : milliseconds{0});
     ++this->board.events.log_reads;
-    const auto batch = this->board.log.read({config_stream, from, 256, wait});
+    const auto batch =
+        this->board.log.read({config_stream, from, 256, wait_deadline,
+                              wait_deadline + (waits ? tail_response_time : recovery_response_time)});
     if (!batch) {
         ++this->board.events.log_read_errors;
         if (!this->board.log_unavailable.exchange(true)) {
