--- a/src/pomeloloft/config/fold_test.cpp
+++ b/src/pomeloloft/config/fold_test.cpp
@@ -6,6 +6,7 @@
 
 #include "pomeloloft/config/patch.hpp"
 #include "test/named_row.hpp"
+#include "test/nested_json.hpp"
 
 namespace {
 
@@ -51,11 +52,6 @@
     return state;
 }
 
-std::string nested_lists(std::size_t depth)
-{
-    return std::string(depth, '[') + std::string(depth, ']');
-}
-
 /// A patch whose operations copy a value into itself, which doubles its depth each time.
 std::string self_copying_patch(int copies)
 {
@@ -76,7 +72,7 @@
 const odd_patch_row odd_patch_rows[] = {
     {"deeply nested operations",
      R"({"id":"p","author":"x","base":0,"operations":[{"op":"add","path":"/x","value":)" +
-         nested_lists(100'000) + "}]}"},
+         testing::nested_lists(100'000) + "}]}"},
     {"copies of copies", self_copying_patch(15)},
     {"a number that is too large",
      R"({"id":"p","author":"x","base":0,"operations":[{"op":"add","path":"/x","value":1e999}]})"},
--- a/src/pomeloloft/net/exchange_test.cpp
+++ b/src/pomeloloft/net/exchange_test.cpp
@@ -128,6 +128,18 @@
     to.loop.stop();
 }
 
+/// A call whose response is given.
+/// @return how it ended, and the number of connections that are kept.
+std::pair<exchange_result, std::size_t> call(const response& returned)
+{
+    fixed_remote to(returned);
+    client_pool pool(to.loop, {});
+    std::pair<exchange_result, std::size_t> out;
+    spawn(to.loop, send_request(to, pool, out.first, out.second), "send-request");
+    to.loop.run_for(milliseconds{3000});
+    return out;
+}
+
 task<void> send_expecting_request(remote& to, client_pool& pool, exchange_result& out)
 {
     const time_point deadline = steady_clock::now() + milliseconds{2000};
@@ -175,12 +187,7 @@
 {
     response unframed{http::status::ok, 11};
     unframed.body() = "whole";
-    fixed_remote to(unframed);
-    client_pool pool(to.loop, {});
-    exchange_result ended;
-    std::size_t idle = 0;
-    spawn(to.loop, send_request(to, pool, ended, idle), "send-request");
-    to.loop.run_for(milliseconds{3000});
+    const auto [ended, idle] = call(unframed);
     BOOST_TEST(name_of(exchange_end_names, ended.end) == "answered");
     BOOST_TEST(ended.response.body() == "whole");
     BOOST_TEST(!ended.reusable);
@@ -191,12 +198,7 @@
 {
     response kept = make_response(http::status::ok, "kept");
     kept.set(http::field::keep_alive, "timeout=2147483647");
-    fixed_remote to(kept);
-    client_pool pool(to.loop, {});
-    exchange_result ended;
-    std::size_t idle = 0;
-    spawn(to.loop, send_request(to, pool, ended, idle), "send-request");
-    to.loop.run_for(milliseconds{3000});
+    const auto [ended, idle] = call(kept);
     BOOST_TEST(ended.reusable);
     BOOST_TEST(idle == 1U);
 }
--- a/test/integration/odd_entries_test.cpp
+++ b/test/integration/odd_entries_test.cpp
@@ -7,6 +7,7 @@
 
 #include "sidecar_fleet.hpp"
 #include "test/named_row.hpp"
+#include "test/nested_json.hpp"
 
 namespace pomeloloft::testing {
 namespace {
@@ -17,11 +18,6 @@
     std::string body;
 };
 
-std::string nested_lists(std::size_t depth)
-{
-    return std::string(depth, '[') + std::string(depth, ']');
-}
-
 std::string report_with(const std::string& version, const std::string& sequence, const std::string& slots)
 {
     return R"({"Address":"x","born":1,"Info":{"Service":"register","Version":)" + version +
--- a/test/integration/odd_log_records_test.cpp
+++ b/test/integration/odd_log_records_test.cpp
@@ -8,17 +8,13 @@
 #include "fleet.hpp"
 #include "pomeloloft/log/log_client.hpp"
 #include "test/named_row.hpp"
+#include "test/nested_json.hpp"
 
 using namespace pomeloloft;
 using namespace pomeloloft::testing;
 
 namespace {
 
-std::string nested_lists(std::size_t depth)
-{
-    return std::string(depth, '[') + std::string(depth, ']');
-}
-
 /// A record that another writer may leave in a stream of the log.
 struct odd_record_row : named_row {
     std::string_view stream;
