Wait, search and refuse by the caller's time left, not by shares of the target latency

What callers saw: of 12 requests on a route with a target latency of 50 ms, to two targets whose queues took 0.45 s of the 3 s that the callers had, 2 were served and 10 refused; of 12 that differ only in a target latency of 2.5 s all were served. A request's first tries were refused where its last try waited.

Cause: retry_policy took a twelfth, an eighth, 30 and 45 percent of the target latency as bounds on a first wait, the search, the last wait and the refusal. Those shares followed how answers are counted; a caller waits until its deadline.

Evidence: sidecar_test requests_that_differ_only_in_target_latency_get_the_ same_decision: on "eager == 12 has failed [2 != 12]"; now 12 and 12.

Now: the gate admits what its queue and the service time let end by the deadline. The sender states the wait from which another endpoint is expected to respond sooner (difference of the expected response times, plus the time to be refused), so a first try and a later one wait alike. A refusal for the queue brings a fresh load report, after which the same endpoint may be the best again. The search ends when no endpoint is expected to respond in time; then the request is refused at once. An endpoint that was not heard of is taken to be as loaded as those that were, so that an overloaded service is not asked in turn.

Ruled out: a wait to the deadline at the first endpoint without a bound by the others; it would queue beside free slots. Tests of the old shares (busy_rows, search_rows, queueing_leaves_most...) stated the shares themselves; they are replaced by tables on the accepted wait, the refusal for lack of time, the endpoints that remain and the bound on attempts.

--- a/include/pomeloloft/sidecar/admission.hpp
+++ b/include/pomeloloft/sidecar/admission.hpp
@@ -45,6 +45,9 @@
 /// Expected time until a request gets a slot; zero when one is free.
 [[nodiscard]] std::chrono::microseconds expected_wait(const gate_snapshot& snapshot);
 
+/// Time until which a request must get its slot for its run to end by the deadline.
+[[nodiscard]] time_point latest_start(const gate_snapshot& snapshot, const slot_request& request);
+
 /// Admission control under overload: a request runs if a slot is free, waits if the expected wait fits both
 /// the sender's limit and the deadline, and is refused immediately otherwise.
 [[nodiscard]] admission_verdict admit_request(const gate_snapshot& snapshot, const slot_request& request,
--- a/include/pomeloloft/sidecar/choose.hpp
+++ b/include/pomeloloft/sidecar/choose.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -67,6 +68,8 @@
     double remote_data_centre_ms_per_kb = 2.0;
     /// Service time assumed while no endpoint has reported one, in milliseconds.
     double default_service_ms = 50.0;
+    /// Load per slot assumed of an endpoint in so far as its last load report has decayed.
+    double default_load_per_slot = 0.0;
     /// Fraction of the service time added at full load, because targets slow down when nearly full.
     double full_load_slowdown = 0.3;
     /// Relative spread of the random factor on the cost, so that senders with the same load reports do not
@@ -100,12 +103,18 @@
     const candidate* endpoint = nullptr;
     /// Expected wait for a slot at the chosen endpoint.
     milliseconds wait{0};
+    /// Expected time until the response arrives.
+    milliseconds response_time{0};
+    /// Wait for a slot from which another endpoint is expected to respond sooner, including the time to ask
+    /// it; nothing if there is no other.
+    std::optional<milliseconds> max_wait;
 };
 
 /// Chooses the untried endpoint with the lowest expected response time. Endpoints in backoff are chosen only
 /// when no other is left. An endpoint that has not reported a service time is assumed to need the mean of the
-/// others. The estimate handles uneven and changing load, targets of different speed, and targets that fail
-/// fast and therefore look idle.
+/// others, and one without a recent load report to be as loaded as those that have reported. The estimate
+/// handles uneven and changing load, targets of different speed, and targets that fail fast and therefore
+/// look idle.
 [[nodiscard]] chosen_endpoint choose(const choice_request& request, const choice_options& options);
 
 /// Records that an endpoint or its target could not be reached, and starts its backoff.
--- a/include/pomeloloft/sidecar/outbound_router.hpp
+++ b/include/pomeloloft/sidecar/outbound_router.hpp
@@ -23,18 +23,20 @@
 private:
     struct request_context;
 
-    net::task<target_call_result> send_to_endpoint(net::request& sent, const request_context& context,
-                                                   std::size_t position, target_call call);
+    /// @param to an endpoint of the list of `call.service`.
+    net::task<target_call_result> send_to_endpoint(net::request& sent, const candidate& to, target_call call);
     net::task<net::response> route(net::request& received, net::client_watch& caller);
     net::task<net::response> send_with_retries(net::request& received, request_context& context);
 
-    /// Picks the next endpoint and marks it as tried.
-    /// @return its position in the endpoint list; nothing when no endpoint is left.
-    std::optional<std::size_t> pick_endpoint(request_context& context, std::size_t body_bytes,
-                                             time_point now);
-    /// Records the result of an attempt and decides the next step.
-    next_step handle_result(const net::request& sent, request_context& context,
+    /// Picks the next endpoint.
+    /// @return nothing when no endpoint is left or none can respond in time.
+    std::optional<chosen_endpoint> pick_endpoint(request_context& context, std::size_t body_bytes,
+                                                 time_point now);
+    /// Records the result of an attempt at a node and decides the next step.
+    next_step handle_result(const net::request& sent, request_context& context, const std::string& node,
                             target_call_result call_result);
+    /// Records an expected wait for a slot; the shortest determines when a refused caller may return.
+    static void record_wait(request_context& context, milliseconds wait);
     /// Builds the response to the caller.
     net::response make_final_response(const net::request& received, request_context& context);
 
--- a/include/pomeloloft/sidecar/retry_policy.hpp
+++ b/include/pomeloloft/sidecar/retry_policy.hpp
@@ -3,15 +3,14 @@
 #include <cstdint>
 
 #include "pomeloloft/base/clock.hpp"
-#include "pomeloloft/sidecar/gate.hpp"
+#include "pomeloloft/sidecar/attempt.hpp"
+#include "pomeloloft/sidecar/choose.hpp"
 
 namespace pomeloloft::sidecar {
 
-/// Number of busy endpoints that may refuse a request before it queues at one of them.
-inline constexpr std::uint32_t max_redirects = 3;
-
-/// Number of attempts that reach no target after which a request is refused.
-inline constexpr std::uint32_t max_unavailable_attempts = 8;
+/// Number of attempts that reach no target after which a request is refused. A safeguard against requests
+/// that are passed on without end; a search for a free slot ends sooner, as each refusal reports a load.
+inline constexpr std::uint32_t max_redirects = 8;
 
 /// State of a request's attempts so far.
 struct retry_state {
@@ -29,8 +28,6 @@
     attempt_outcome last = attempt_outcome::unavailable;
     /// The last response is a server error of the target.
     bool target_failed = false;
-    /// The next attempt queues at its endpoint, and the request is refused if it gets no slot there.
-    bool accepts_queueing = false;
 };
 
 /// Records the outcome of an attempt.
@@ -60,23 +57,17 @@
 /// Decides the status reported to the caller; `not_run` only if no attempt can have run.
 [[nodiscard]] final_status decide_final_status(const retry_state& state, time_point now, time_point deadline);
 
-/// Longest queue wait that the sender accepts: short while another endpoint may have a free slot, otherwise
-/// as long as the response can still arrive in time.
-[[nodiscard]] milliseconds max_queue_wait(bool accepts_queueing, time_point started, time_point soft_deadline,
-                                          time_point now);
-
-/// Whether the search for a free slot is over, by endpoints asked or by time spent. This matters under
-/// overload on slow links: the time spent on the search is not available for queueing at the best endpoint.
-[[nodiscard]] bool is_search_exhausted(const retry_state& state, time_point started, time_point soft_deadline,
-                                       time_point now);
-
-/// Whether a request queues at the first endpoint instead of searching for a free slot. Under overload, when
-/// even the best endpoint is estimated to be busy for nearly half of the time to the soft deadline, asking
-/// other endpoints in turn fills their links with requests that they refuse. Below that threshold the
-/// estimates are too old to rule out the other endpoints.
-/// @param shortest_wait expected wait at the endpoint with the lowest expected response time.
-[[nodiscard]] bool is_busy_everywhere(milliseconds shortest_wait, time_point started,
-                                      time_point soft_deadline);
+/// Longest wait for a slot that suits a caller at the chosen endpoint: until another endpoint is expected to
+/// respond sooner, and no longer than the caller waits for the response.
+[[nodiscard]] milliseconds max_queue_wait(const chosen_endpoint& chosen, time_point now, time_point deadline);
+
+/// Whether the best response time that can be expected exceeds the time left. The request is then refused at
+/// once, so that its caller does not wait in vain.
+[[nodiscard]] bool is_too_late(const chosen_endpoint& chosen, time_point now, time_point deadline);
+
+/// Whether an endpoint can be chosen again after an attempt. It can if it refused the request only because
+/// the expected wait exceeded `max_wait`: its load report now states that wait.
+[[nodiscard]] bool remains_candidate(const target_call_result& refused, milliseconds max_wait);
 
 /// Delay after which a refused caller should retry: about the time until a slot is free, randomised so that
 /// callers refused together do not return together.
--- a/src/pomeloloft/sidecar/admission.cpp
+++ b/src/pomeloloft/sidecar/admission.cpp
@@ -20,6 +20,11 @@
     return snapshot.service_time * (snapshot.queued_ahead + excess + 1) / slots;
 }
 
+time_point latest_start(const gate_snapshot& snapshot, const slot_request& request)
+{
+    return request.deadline == no_deadline ? no_deadline : request.deadline - snapshot.service_time;
+}
+
 admission_verdict admit_request(const gate_snapshot& snapshot, const slot_request& request, time_point now)
 {
     if (request.deadline <= now) {
@@ -32,9 +37,8 @@
     if (wait > request.max_wait) {
         return admission_verdict::refuse_full;
     }
-    const bool in_time =
-        request.deadline == no_deadline || now + wait + snapshot.service_time <= request.deadline;
-    return in_time ? admission_verdict::wait : admission_verdict::refuse_deadline;
+    return now + wait <= latest_start(snapshot, request) ? admission_verdict::wait
+                                                         : admission_verdict::refuse_deadline;
 }
 
 } // namespace pomeloloft::sidecar
--- a/src/pomeloloft/sidecar/choose.cpp
+++ b/src/pomeloloft/sidecar/choose.cpp
@@ -66,6 +66,22 @@
     return known > 0 ? total_us / us_per_ms / static_cast<double>(known) : options.default_service_ms;
 }
 
+/// Mean load per slot by the load reports, weighted by how recent they are. It decreases to zero with the
+/// last report: a sender that has heard of no endpoint lately must ask one to learn whether it is free.
+double mean_load_per_slot(std::span<const candidate> candidates, time_point now,
+                          const choice_options& options)
+{
+    double load_per_slot = 0;
+    double weight = 0;
+    for (const candidate& c : candidates) {
+        const double slots = std::max(c.load->slots, 1U);
+        const double current = decay_factor(*c.load, now, options.load_decay_time);
+        load_per_slot += c.load->reported_load / slots * current;
+        weight += current;
+    }
+    return load_per_slot / std::max(weight, 1.0);
+}
+
 /// Expected wait for a slot, in milliseconds.
 double expected_wait_ms(const candidate& c, time_point now, const choice_options& options)
 {
@@ -74,31 +90,61 @@
     return excess * service_ms_of(*c.load, options) / slots;
 }
 
-const candidate* best_of(const choice_request& request, const choice_options& options, bool in_backoff)
+/// An endpoint and its cost, by which endpoints are compared.
+struct ranked_endpoint {
+    const candidate* endpoint = nullptr;
+    double cost_ms = 0;
+};
+
+/// Best endpoint among those that were not tried, apart from `except`.
+ranked_endpoint best_of(const choice_request& request, const choice_options& options, bool in_backoff,
+                        const candidate* except = nullptr)
 {
-    const candidate* best = nullptr;
-    double best_ms = 0;
+    ranked_endpoint best;
     for (std::size_t i = 0; i < request.candidates.size(); ++i) {
         const candidate& c = request.candidates[i];
-        if (was_tried(c, request.tried) || (c.load->backoff_until > request.now) != in_backoff) {
+        const bool is_excluded = &c == except || was_tried(c, request.tried);
+        if (is_excluded || (c.load->backoff_until > request.now) != in_backoff) {
             continue;
         }
-        const double ms = expected_response_ms(c, request, options) * jitter_of(i, request, options.jitter);
-        if (best == nullptr || ms < best_ms) {
-            best = &c;
-            best_ms = ms;
+        const double cost_ms =
+            expected_response_ms(c, request, options) * jitter_of(i, request, options.jitter);
+        if (best.endpoint == nullptr || cost_ms < best.cost_ms) {
+            best = {&c, cost_ms};
         }
     }
     return best;
 }
 
+milliseconds to_milliseconds(double ms)
+{
+    return milliseconds(static_cast<std::int64_t>(ms));
+}
+
+chosen_endpoint describe_choice(const choice_request& request, const choice_options& options,
+                                const ranked_endpoint& best, const ranked_endpoint& second)
+{
+    const candidate& c = *best.endpoint;
+    const double wait = expected_wait_ms(c, request.now, options);
+    chosen_endpoint out{&c, to_milliseconds(wait), to_milliseconds(wait + service_ms_of(*c.load, options)),
+                        std::nullopt};
+    if (second.endpoint != nullptr) {
+        const double refusal_ms = c.is_own_target ? 0.0 : options.remote_vm_ms;
+        const double cost_without_wait = expected_response_ms(c, request, options) - wait;
+        out.max_wait = to_milliseconds(std::max(0.0, second.cost_ms - cost_without_wait + refusal_ms));
+    }
+    return out;
+}
+
 } // namespace
 
 double estimated_load(const endpoint_load& load, time_point now, const choice_options& options)
 {
-    const double reported =
-        (load.reported_load + load.sent_since_report) * decay_factor(load, now, options.load_decay_time);
-    return std::max<double>(load.in_flight, reported);
+    const double current = decay_factor(load, now, options.load_decay_time);
+    const double assumed = options.default_load_per_slot * std::max(load.slots, 1U);
+    const double expected =
+        (load.reported_load + load.sent_since_report) * current + assumed * (1.0 - current);
+    return std::max<double>(load.in_flight, expected);
 }
 
 double expected_response_ms(const candidate& c, const choice_request& request, const choice_options& options)
@@ -123,17 +169,21 @@
 
 chosen_endpoint choose(const choice_request& request, const choice_options& options)
 {
-    choice_options with_mean_service = options;
-    with_mean_service.default_service_ms = mean_service_ms(request.candidates, options);
-    const candidate* best = best_of(request, with_mean_service, false);
-    if (best == nullptr) {
-        best = best_of(request, with_mean_service, true);
+    choice_options with_means = options;
+    with_means.default_service_ms = mean_service_ms(request.candidates, options);
+    with_means.default_load_per_slot = mean_load_per_slot(request.candidates, request.now, options);
+    bool in_backoff = false;
+    ranked_endpoint best = best_of(request, with_means, in_backoff);
+    if (best.endpoint == nullptr) {
+        in_backoff = true;
+        best = best_of(request, with_means, in_backoff);
     }
-    if (best == nullptr) {
+    if (best.endpoint == nullptr) {
         return {};
     }
-    return {best,
-            milliseconds(static_cast<std::int64_t>(expected_wait_ms(*best, request.now, with_mean_service)))};
+    choice_options exact = with_means;
+    exact.jitter = 0;
+    return describe_choice(request, exact, best, best_of(request, exact, in_backoff, best.endpoint));
 }
 
 void record_endpoint_failure(endpoint_load& load, time_point now, const choice_options& options)
--- a/src/pomeloloft/sidecar/outbound_router.cpp
+++ b/src/pomeloloft/sidecar/outbound_router.cpp
@@ -113,8 +113,6 @@
     std::string service;
     time_point started;
     time_point deadline;
-    /// Time until which a response has its full value to the caller.
-    time_point soft_deadline;
     std::vector<std::string> tried;
     retry_state state;
     /// The last response received from a target.
@@ -123,6 +121,11 @@
     milliseconds min_wait{0};
 };
 
+void outbound_router::record_wait(request_context& context, milliseconds wait)
+{
+    context.min_wait = context.min_wait.count() == 0 ? wait : std::min(context.min_wait, wait);
+}
+
 outbound_router::outbound_router(sidecar_state& process_state, target_gate& local_gate, peer_links& links)
     : shared(process_state), gate(local_gate), peers(links)
 {
@@ -223,7 +226,6 @@
         parse_time_left(received, names.time_left).value_or(context.route->timeout);
     context.deadline = std::min(context.started + std::min(caller_time_left, context.route->timeout),
                                 this->shared.serve_until);
-    context.soft_deadline = context.started + context.route->target_latency;
     erase_hop_by_hop_headers(received);
     erase_peer_headers(received);
     received.set(names.caller_service, this->shared.local_settings.service);
@@ -244,13 +246,12 @@
     co_return out;
 }
 
-net::task<target_call_result> outbound_router::send_to_endpoint(net::request& sent,
-                                                                const request_context& context,
-                                                                std::size_t position, target_call call)
+net::task<target_call_result> outbound_router::send_to_endpoint(net::request& sent, const candidate& to,
+                                                                target_call call)
 {
-    const endpoint_list& list = this->shared.endpoints[context.service];
-    const candidate chosen = list.candidates[position];
-    const net::tcp::endpoint address = list.addresses[position];
+    const endpoint_list& list = this->shared.endpoints[call.service];
+    const candidate chosen = to;
+    const net::tcp::endpoint address = list.addresses[&to - list.candidates.data()];
     endpoint_load& load = *chosen.load;
     struct in_flight {
         endpoint_load& load;
@@ -277,45 +278,30 @@
     co_return out;
 }
 
-std::optional<std::size_t> outbound_router::pick_endpoint(request_context& context, std::size_t body_bytes,
-                                                          time_point now)
+std::optional<chosen_endpoint> outbound_router::pick_endpoint(request_context& context,
+                                                              std::size_t body_bytes, time_point now)
 {
     const auto found = this->shared.endpoints.find(context.service);
     if (now >= context.deadline || found == this->shared.endpoints.end()) {
         return std::nullopt;
     }
-    const std::vector<candidate>& all = found->second.candidates;
-    chosen_endpoint chosen = choose({all, context.tried, body_bytes, random_draw(), now}, this->options);
-    if (chosen.endpoint == nullptr &&
-        (context.state.accepts_queueing || context.state.redirects == 0 || context.state.dispatches > 0)) {
+    const chosen_endpoint chosen =
+        choose({found->second.candidates, context.tried, body_bytes, random_draw(), now}, this->options);
+    if (chosen.endpoint == nullptr) {
         return std::nullopt;
     }
-    if (chosen.endpoint == nullptr ||
-        is_search_exhausted(context.state, context.started, context.soft_deadline, now)) {
-        // The search for a free slot ends here, because no untried endpoint is left or its limit of redirects
-        // or time is reached. The request now queues at the endpoint with the lowest expected response time
-        // among all, including those tried before, because further redirects would use up the time
-        // that is left for queueing.
-        context.state.accepts_queueing = true;
-        context.tried.clear();
-        chosen = choose({all, {}, body_bytes, random_draw(), now}, this->options);
-    }
-    if (chosen.endpoint == nullptr) {
+    if (is_too_late(chosen, now, context.deadline)) {
+        record_wait(context, chosen.wait);
         return std::nullopt;
     }
-    context.state.accepts_queueing = context.state.accepts_queueing ||
-                                     is_busy_everywhere(chosen.wait, context.started, context.soft_deadline);
-    context.tried.push_back(chosen.endpoint->node);
-    return static_cast<std::size_t>(chosen.endpoint - all.data());
+    return chosen;
 }
 
 next_step outbound_router::handle_result(const net::request& sent, request_context& context,
-                                         target_call_result call_result)
+                                         const std::string& node, target_call_result call_result)
 {
-    const std::string& node = context.tried.back();
     const bool answered = call_result.outcome == attempt_outcome::answered;
-    context.min_wait =
-        context.min_wait.count() == 0 ? call_result.wait : std::min(context.min_wait, call_result.wait);
+    record_wait(context, call_result.wait);
     record_attempt(context.state, call_result.outcome, answered && is_server_error(call_result.response));
     this->update_crash_suspects(sent, call_result);
     if (is_endpoint_failure(call_result.outcome)) {
@@ -375,20 +361,23 @@
     next_step step = next_step::redirect;
     while (step != next_step::finish) {
         const time_point now = steady_clock::now();
-        const auto position = this->pick_endpoint(context, received.body().size(), now);
-        if (!position) {
+        const auto chosen = this->pick_endpoint(context, received.body().size(), now);
+        if (!chosen) {
             break;
         }
+        const std::string node = chosen->endpoint->node;
         target_call call;
         call.service = context.service;
         call.priority = context.route->priority;
         call.deadline = context.deadline;
         call.idempotent = context.route->idempotent;
         call.caller = context.caller;
-        call.max_wait =
-            max_queue_wait(context.state.accepts_queueing, context.started, context.soft_deadline, now);
-        target_call_result call_result = co_await this->send_to_endpoint(received, context, *position, call);
-        step = this->handle_result(received, context, std::move(call_result));
+        call.max_wait = max_queue_wait(*chosen, now, context.deadline);
+        target_call_result call_result = co_await this->send_to_endpoint(received, *chosen->endpoint, call);
+        if (!remains_candidate(call_result, call.max_wait)) {
+            context.tried.push_back(node);
+        }
+        step = this->handle_result(received, context, node, std::move(call_result));
     }
     co_return this->make_final_response(received, context);
 }
--- a/src/pomeloloft/sidecar/policy_test.cpp
+++ b/src/pomeloloft/sidecar/policy_test.cpp
@@ -1,4 +1,6 @@
 #include <array>
+#include <optional>
+#include <span>
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -79,34 +81,47 @@
     {"runs that failed, with a reserve below the cost of a retry", attempt_outcome::answered, 2, 0, 1},
 };
 
-struct busy_row : testing::named_row {
-    milliseconds shortest_wait;
-    milliseconds latency_target;
-    bool busy;
+struct wait_row : testing::named_row {
+    std::optional<milliseconds> max_wait;
+    milliseconds time_left;
+    milliseconds expected;
 };
 
-const busy_row busy_rows[] = {
-    {"a free slot", milliseconds{0}, milliseconds{600}, false},
-    {"a short queue", milliseconds{80}, milliseconds{600}, false},
-    {"a queue of about one service time, which an outdated report may show although it is empty",
-     milliseconds{60}, milliseconds{200}, false},
-    {"a queue of half of the latency target", milliseconds{300}, milliseconds{600}, true},
-    {"the same queue for a caller with more time", milliseconds{300}, milliseconds{1200}, false},
+const wait_row wait_rows[] = {
+    {"no other endpoint", std::nullopt, milliseconds{500}, milliseconds{500}},
+    {"another endpoint that is expected to respond sooner after a while", milliseconds{40}, milliseconds{500},
+     milliseconds{40}},
+    {"another endpoint that is free", milliseconds{0}, milliseconds{500}, milliseconds{0}},
+    {"other endpoints that are busy for longer than the caller waits", milliseconds{900}, milliseconds{500},
+     milliseconds{500}},
+    {"no time left", std::nullopt, milliseconds{0}, milliseconds{0}},
 };
 
-struct search_row : testing::named_row {
-    std::uint32_t redirects;
-    milliseconds elapsed;
-    bool searched;
+struct late_row : testing::named_row {
+    milliseconds response_time;
+    milliseconds time_left;
+    bool too_late;
 };
 
-constexpr milliseconds search_latency_target{200};
+const late_row late_rows[] = {
+    {"enough time", milliseconds{300}, milliseconds{500}, false},
+    {"just enough time", milliseconds{500}, milliseconds{500}, false},
+    {"too little time", milliseconds{501}, milliseconds{500}, true},
+};
 
-const search_row search_rows[] = {
-    {"no endpoint asked yet, after a slow start", 0, milliseconds{100}, false},
-    {"two endpoints asked in a short time", 2, milliseconds{10}, false},
-    {"one endpoint asked over a slow link", 1, milliseconds{40}, true},
-    {"the maximum number of endpoints asked", 3, milliseconds{10}, true},
+struct candidate_row : testing::named_row {
+    attempt_outcome outcome;
+    milliseconds wait;
+    bool remains;
+};
+
+constexpr milliseconds accepted_wait{50};
+
+const candidate_row candidate_rows[] = {
+    {"a queue longer than accepted", attempt_outcome::refused, milliseconds{60}, true},
+    {"refused for another reason than the queue", attempt_outcome::refused, milliseconds{0}, false},
+    {"unreachable", attempt_outcome::unavailable, milliseconds{60}, false},
+    {"rejected by the target", attempt_outcome::rejected, milliseconds{60}, false},
 };
 
 struct step_row : testing::named_row {
@@ -244,28 +259,30 @@
     BOOST_TEST(retries == sample.retries);
 }
 
-BOOST_DATA_TEST_CASE(the_search_for_a_slot_is_skipped_if_all_endpoints_are_busy,
-                     boost::unit_test::data::make(busy_rows))
+BOOST_DATA_TEST_CASE(a_request_waits_until_another_endpoint_would_respond_sooner,
+                     boost::unit_test::data::make(wait_rows))
 {
     const time_point now = steady_clock::now();
-    BOOST_TEST(is_busy_everywhere(sample.shortest_wait, now, now + sample.latency_target) == sample.busy);
+    chosen_endpoint chosen;
+    chosen.max_wait = sample.max_wait;
+    BOOST_TEST((max_queue_wait(chosen, now, now + sample.time_left) == sample.expected));
 }
 
-BOOST_DATA_TEST_CASE(a_search_ends_by_endpoints_asked_or_by_time, boost::unit_test::data::make(search_rows))
+BOOST_DATA_TEST_CASE(a_request_that_no_endpoint_can_serve_in_time_is_refused,
+                     boost::unit_test::data::make(late_rows))
 {
     const time_point now = steady_clock::now();
-    retry_state state;
-    state.redirects = sample.redirects;
-    const time_point started = now - sample.elapsed;
-    BOOST_TEST(is_search_exhausted(state, started, started + search_latency_target, now) == sample.searched);
+    chosen_endpoint chosen;
+    chosen.response_time = sample.response_time;
+    BOOST_TEST(is_too_late(chosen, now, now + sample.time_left) == sample.too_late);
 }
 
-BOOST_AUTO_TEST_CASE(queueing_leaves_most_of_the_latency_target_for_the_run)
+BOOST_DATA_TEST_CASE(a_busy_endpoint_can_be_chosen_again, boost::unit_test::data::make(candidate_rows))
 {
-    const time_point now = steady_clock::now();
-    const milliseconds longest = max_queue_wait(true, now, now + search_latency_target, now);
-    BOOST_TEST((longest * 3 <= search_latency_target));
-    BOOST_TEST((max_queue_wait(false, now, now + search_latency_target, now) < longest));
+    target_call_result refused;
+    refused.outcome = sample.outcome;
+    refused.wait = sample.wait;
+    BOOST_TEST(remains_candidate(refused, accepted_wait) == sample.remains);
 }
 
 BOOST_DATA_TEST_CASE(the_next_step_after_an_attempt_is_safe, boost::unit_test::data::make(step_rows))
@@ -293,16 +310,60 @@
     BOOST_TEST((decide_final_status(state, now, now + milliseconds(100)) == final_status::lost));
 }
 
-BOOST_AUTO_TEST_CASE(attempts_at_unreachable_targets_are_bounded)
+BOOST_AUTO_TEST_CASE(attempts_that_reach_no_target_are_bounded)
 {
     const time_point now = steady_clock::now();
-    retry_state state;
-    std::uint32_t tries = 0;
-    do {
-        record_attempt(state, attempt_outcome::unavailable, false);
-        ++tries;
-    } while (decide_next_step(state, now, now + milliseconds(100)) != next_step::finish && tries < 100);
-    BOOST_TEST(tries == max_unavailable_attempts);
+    for (const attempt_outcome outcome : {attempt_outcome::unavailable, attempt_outcome::refused}) {
+        retry_state state;
+        std::uint32_t tries = 0;
+        do {
+            record_attempt(state, outcome, false);
+            ++tries;
+        } while (decide_next_step(state, now, now + milliseconds(100)) != next_step::finish && tries < 100);
+        BOOST_TEST(tries == max_redirects);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(the_accepted_wait_follows_from_the_load_of_the_other_endpoints)
+{
+    endpoint_load busy = load_of(18, 90'000);
+    endpoint_load busier = load_of(27, 90'000);
+    endpoint_load idle = load_of(0, 90'000);
+    const candidate first{"first", false, true, &busy};
+    const candidate second{"second", false, true, &busier};
+    const candidate third{"third", false, true, &idle};
+    const auto choice = [&busy](std::span<const candidate> candidates) {
+        return choose({candidates, {}, 0, 1, busy.reported_at}, {});
+    };
+    const std::array<candidate, 3> all{first, second, third};
+    const std::span<const candidate> list(all);
+    const chosen_endpoint alone = choice(list.first(1));
+    BOOST_TEST(!alone.max_wait.has_value());
+    // Ten requests end before one that finds 18 at nine slots, 19 before one that finds 27.
+    const chosen_endpoint both = choice(list.first(2));
+    BOOST_TEST(both.endpoint->node == "first");
+    BOOST_TEST((both.wait == milliseconds{100}));
+    BOOST_TEST((both.max_wait >= milliseconds{190} && both.max_wait <= milliseconds{195}));
+    const chosen_endpoint with_idle = choice(list);
+    BOOST_TEST(with_idle.endpoint->node == "third");
+    BOOST_TEST((with_idle.wait == milliseconds{0}));
+}
+
+BOOST_AUTO_TEST_CASE(an_endpoint_without_a_report_is_assumed_to_be_as_loaded_as_the_others)
+{
+    const choice_options options;
+    endpoint_load full = load_of(27, 90'000);
+    endpoint_load other_full = full;
+    endpoint_load unheard = load_of(0, 90'000);
+    unheard.reported_at = full.reported_at - options.load_decay_time;
+    const std::array<candidate, 3> all{candidate{"full", false, true, &full},
+                                       candidate{"other", false, true, &other_full},
+                                       candidate{"unheard", false, true, &unheard}};
+    const choice_request current{all, {}, 0, 1, full.reported_at};
+    BOOST_TEST((choose(current, options).wait >= milliseconds{150}));
+    // When no report is recent, a sender asks again.
+    const choice_request later{all, {}, 0, 1, full.reported_at + options.load_decay_time};
+    BOOST_TEST((choose(later, options).wait == milliseconds{0}));
 }
 
 BOOST_DATA_TEST_CASE(the_endpoint_with_the_lowest_expected_response_time_is_chosen,
--- a/src/pomeloloft/sidecar/retry_policy.cpp
+++ b/src/pomeloloft/sidecar/retry_policy.cpp
@@ -57,9 +57,8 @@
     case attempt_outcome::rejected:
         break;
     case attempt_outcome::unavailable:
-        return state.redirects < max_unavailable_attempts ? next_step::redirect : next_step::finish;
     case attempt_outcome::refused:
-        return state.accepts_queueing ? next_step::finish : next_step::redirect;
+        return state.redirects < max_redirects ? next_step::redirect : next_step::finish;
     }
     return state.dispatches < state.max_dispatches ? next_step::retry : next_step::finish;
 }
@@ -79,29 +78,20 @@
     return state.timed_out || now >= deadline ? final_status::timed_out : final_status::lost;
 }
 
-milliseconds max_queue_wait(bool accepts_queueing, time_point started, time_point soft_deadline,
-                            time_point now)
+milliseconds max_queue_wait(const chosen_endpoint& chosen, time_point now, time_point deadline)
 {
-    constexpr int search_wait_divisor = 12;
-    if (!accepts_queueing) {
-        return remaining(soft_deadline, started) / search_wait_divisor;
-    }
-    constexpr int queue_wait_percent = 30;
-    return remaining(soft_deadline, now) * queue_wait_percent / 100;
+    const milliseconds left = remaining(deadline, now);
+    return std::min(chosen.max_wait.value_or(left), left);
 }
 
-bool is_search_exhausted(const retry_state& state, time_point started, time_point soft_deadline,
-                         time_point now)
+bool is_too_late(const chosen_endpoint& chosen, time_point now, time_point deadline)
 {
-    constexpr int search_time_divisor = 8;
-    const bool search_time_spent = now - started > remaining(soft_deadline, started) / search_time_divisor;
-    return state.redirects >= max_redirects || (state.redirects > 0 && search_time_spent);
+    return chosen.response_time > remaining(deadline, now);
 }
 
-bool is_busy_everywhere(milliseconds shortest_wait, time_point started, time_point soft_deadline)
+bool remains_candidate(const target_call_result& refused, milliseconds max_wait)
 {
-    constexpr int busy_threshold_percent = 45;
-    return shortest_wait > remaining(soft_deadline, started) * busy_threshold_percent / 100;
+    return refused.outcome == attempt_outcome::refused && refused.wait > max_wait;
 }
 
 milliseconds retry_after(milliseconds expected_wait, std::uint64_t random)
--- a/test/integration/sidecar_test.cpp
+++ b/test/integration/sidecar_test.cpp
@@ -187,7 +187,7 @@
         const bool all_valid = std::all_of(answers.begin(), answers.end(), [](const caller_response& a) {
             return a.status == 200 || (a.status == 503 && !a.retry_after.empty());
         });
-        // Two targets with eight slots together, 40 ms per run and a latency target of half a second.
+        // Two targets with eight slots together and 40 ms per run, and callers that wait for a second.
         BOOST_TEST(served >= 20);
         BOOST_TEST(all_valid);
     }
@@ -197,6 +197,47 @@
     }
 }
 
+// Guards against waits and refusals that depended on the route's target latency, which does not say how long
+// a caller waits.
+BOOST_AUTO_TEST_CASE(requests_that_differ_only_in_target_latency_get_the_same_decision)
+{
+    sidecar_fleet fleet(2);
+    const std::string common = R"("RouteType":"idempotent","TimeoutMs":3000,"Priority":1,)"
+                               R"("Service":"register","MaxAttempts":2})";
+    fleet.configure(
+        2, R"(,{"Name":"eager","Host":"shop.example","PathPrefix":"/eager/","TargetLatencyMs":50,)" + common +
+               R"(,{"Name":"calm","Host":"shop.example","PathPrefix":"/calm/",)"
+               R"("TargetLatencyMs":2500,)" +
+               common);
+    const auto request_to = [](const std::string& path, int number) {
+        caller_request out = read_request(path.substr(1, 1) + std::to_string(number));
+        out.path = path;
+        out.time_left = milliseconds(3000);
+        return out;
+    };
+    BOOST_REQUIRE(fleet.run_until([&] {
+        return fleet.call(0, request_to("/eager/1", 0)).status == 200 &&
+               fleet.call(1, request_to("/calm/1", 0)).status == 200;
+    }));
+    for (sidecar_node& node : fleet.nodes) {
+        node.target->service_time = milliseconds(150);
+    }
+    // Three requests a slot, which take less than half of the time that the callers have.
+    std::vector<caller_request> requests;
+    for (int i = 1; i <= 12; ++i) {
+        requests.push_back(request_to("/eager/1", i));
+        requests.push_back(request_to("/calm/1", i));
+    }
+    const std::vector<caller_response> responses = fleet.call_all(0, requests);
+    int eager = 0;
+    int calm = 0;
+    for (std::size_t i = 0; i < responses.size(); ++i) {
+        (i % 2 == 0 ? eager : calm) += responses[i].status == 200 ? 1 : 0;
+    }
+    BOOST_TEST(eager == 12);
+    BOOST_TEST(calm == 12);
+}
+
 BOOST_AUTO_TEST_CASE(headers_for_the_target_are_set_and_internal_headers_are_removed)
 {
     sidecar_fleet fleet(2);
