Let a request wait in the gate until its run could no longer end in time

What callers saw: a request left the queue after twice the wait that its sender had accepted, also where a run took longer than had been known when it came, though it would have had its slot 80 ms later and 1.8 s were left.

Cause: the gate's timer ran out at twice max_wait; serve_forwarded accepted remaining / 2 for a body that had been transferred.

Now a request leaves the queue when its deadline less the observed service time has come; the caller then still learns that it has not run. A body is accepted only if its transfer and the run can end by the deadline.

Why it works: what is left to do is the run, and its time is observed; neither the sender's estimate nor half of the time says when waiting becomes useless.

--- a/include/pomeloloft/sidecar/gate.hpp
+++ b/include/pomeloloft/sidecar/gate.hpp
@@ -39,6 +39,9 @@
     [[nodiscard]] std::optional<target_call_result>
     find_early_refusal(const target_call& call, std::uint32_t bodies_in_transfer) const;
 
+    /// Time until which a request must get its slot for its run to end by the deadline.
+    [[nodiscard]] time_point latest_start_of(const target_call& call) const;
+
     /// The load report that is sent to other sidecars with each response.
     [[nodiscard]] load_report report() const;
 
--- a/src/pomeloloft/sidecar/gate.cpp
+++ b/src/pomeloloft/sidecar/gate.cpp
@@ -133,6 +133,12 @@
             known > 0 ? std::chrono::microseconds(known) : initial_service_time};
 }
 
+time_point target_gate::latest_start_of(const target_call& call) const
+{
+    const slot_request requested_slot = request_of(call);
+    return latest_start(this->snapshot(requested_slot), requested_slot);
+}
+
 load_report target_gate::report() const
 {
     constexpr double percent = 100.0;
@@ -230,8 +236,7 @@
         }
     } guard{*this, self};
     this->waiting.push_back(&self);
-    // A request that has waited twice as long as its sender expected is better retried at another endpoint.
-    self.ready.expires_at(std::min(call.deadline, steady_clock::now() + 2 * call.max_wait));
+    self.ready.expires_at(this->latest_start_of(call));
     co_await self.ready.async_wait(net::use_task);
     guard.slot_taken = self.granted;
     co_return self.granted;
--- a/src/pomeloloft/sidecar/gate_test.cpp
+++ b/src/pomeloloft/sidecar/gate_test.cpp
@@ -54,7 +54,7 @@
         co_return out;
     }
 
-    net::task<void> send(std::string id, attempt_outcome& out)
+    net::task<void> send(std::string id, attempt_outcome& out, milliseconds max_wait = milliseconds{0})
     {
         net::request sent{net::http::verb::get, "/", 11};
         sent.set("x-id", id);
@@ -62,6 +62,7 @@
         call.service = "register";
         call.deadline = steady_clock::now() + milliseconds{2000};
         call.idempotent = true;
+        call.max_wait = max_wait;
         const target_call_result ended = co_await this->gate->serve(sent, call);
         out = ended.outcome;
     }
@@ -139,6 +140,20 @@
     BOOST_TEST(!t.gate->reachable());
 }
 
+// Guards against requests that left the queue early because runs took longer than was known on their arrival.
+BOOST_AUTO_TEST_CASE(a_waiting_request_keeps_its_place_while_its_run_can_end_in_time)
+{
+    gated_target t;
+    std::array<attempt_outcome, 4> running{};
+    for (attempt_outcome& one : running) {
+        t.begin("x", one);
+    }
+    attempt_outcome waiting = attempt_outcome::lost;
+    net::spawn(t.loop, t.send("y", waiting, work_time / 4), "send");
+    t.loop.run_for(3 * work_time);
+    BOOST_TEST((waiting == attempt_outcome::answered));
+}
+
 BOOST_AUTO_TEST_CASE(cancelled_requests_do_not_count_as_target_failures)
 {
     gated_target t;
--- a/src/pomeloloft/sidecar/peer_forwarding.cpp
+++ b/src/pomeloloft/sidecar/peer_forwarding.cpp
@@ -270,9 +270,9 @@
         return refused;
     }
     const milliseconds wait = this->bodies.expected_wait();
-    const milliseconds arrival = wait + this->bodies.transfer_time(body_bytes);
+    const time_point arrival = now + wait + this->bodies.transfer_time(body_bytes);
     if (wait <= forwarded_request.call.max_wait &&
-        arrival < remaining(forwarded_request.call.deadline, now)) {
+        arrival <= this->gate.latest_start_of(forwarded_request.call)) {
         return std::nullopt;
     }
     target_call_result refused;
@@ -290,8 +290,10 @@
     if (!refused) {
         // The sender times out slightly later, so that it still receives the refusal.
         const time_point wait_deadline = steady_clock::now() + forwarded_request.call.max_wait;
+        const time_point latest_transfer =
+            this->gate.latest_start_of(forwarded_request.call) - this->bodies.transfer_time(body_bytes);
         out.body_reservation =
-            co_await this->bodies.admit(body_bytes, std::min(wait_deadline, forwarded_request.call.deadline));
+            co_await this->bodies.admit(body_bytes, std::min(wait_deadline, latest_transfer));
     }
     if (!out.body_reservation) {
         if (!refused) {
@@ -310,8 +312,8 @@
     forwarded_request.call.caller = &sender;
     const std::string& attempt = forwarded_request.attempt;
     if (received.find(net::http::field::expect) != received.end()) {
-        // The body has already been transferred, and a refusal now would waste the transfer.
-        forwarded_request.call.max_wait = remaining(forwarded_request.call.deadline, steady_clock::now()) / 2;
+        // The body has been transferred and would have to be transferred again to another endpoint.
+        forwarded_request.call.max_wait = remaining(forwarded_request.call.deadline, steady_clock::now());
     }
     for (const char* name :
          {peer_header::service, peer_header::priority, peer_header::max_wait, peer_header::time_left,
--- a/test/integration/sidecar_test.cpp
+++ b/test/integration/sidecar_test.cpp
@@ -238,6 +238,38 @@
     BOOST_TEST(calm == 12);
 }
 
+// Guards against bodies that were transferred and then refused although their callers had time to wait.
+BOOST_AUTO_TEST_CASE(uploads_wait_for_a_slot_as_long_as_their_callers)
+{
+    sidecar_fleet fleet({"gallery", "register"});
+    fleet.configure(2, R"(,{"Name":"scan","Host":"shop.example","PathPrefix":"/scan/","RouteType":"upload",)"
+                       R"("TimeoutMs":3000,"TargetLatencyMs":3000,"Priority":1,"Service":"register",)"
+                       R"("MaxAttempts":1})");
+    const auto upload = [](int number) {
+        caller_request out = write_request("u" + std::to_string(number));
+        out.path = "/scan/1";
+        out.body.assign(std::size_t{10} << 10U, 'x');
+        out.time_left = milliseconds(3000);
+        return out;
+    };
+    BOOST_REQUIRE(fleet.run_until([&] { return fleet.call(0, upload(0)).status == 200; }));
+    fleet.nodes[1].target->service_time = milliseconds(150);
+    int sent = 0;
+    const auto served_of = [&](int count) {
+        std::vector<caller_request> uploads;
+        for (int i = 0; i < count; ++i) {
+            uploads.push_back(upload(++sent));
+        }
+        const std::vector<caller_response> responses = fleet.call_all(0, uploads);
+        return std::count_if(responses.begin(), responses.end(),
+                             [](const caller_response& r) { return r.status == 200; });
+    };
+    // The sidecar of the target learns the service time.
+    BOOST_TEST(served_of(24) == 24);
+    // 12 uploads a slot take 1.8 of the 3 s that the callers have.
+    BOOST_TEST(served_of(48) == 48);
+}
+
 BOOST_AUTO_TEST_CASE(headers_for_the_target_are_set_and_internal_headers_are_removed)
 {
     sidecar_fleet fleet(2);
