Do not refuse a request because others have refused it before

What callers saw: at twice the work that the slots can do, requests that two endpoints had refused were served in 48.2 % of the cases, the rest in 49.3 % (overload_test, "many senders", 64,000 of each; 3 standard errors are 0.8 %).

Cause: the limit of eight attempts that reach no target was reached by 0.4 % of the fresh requests and by 1.6 % of the others, although each refusal brought a load report and the search would have ended by itself.

The test now asks for a difference within three standard errors; before it allowed 2 % and passed.

The limit stays as a safeguard against requests that are passed on without end.

--- a/include/pomeloloft/sidecar/retry_policy.hpp
+++ b/include/pomeloloft/sidecar/retry_policy.hpp
@@ -10,7 +10,7 @@
 
 /// Number of attempts that reach no target after which a request is refused. A safeguard against requests
 /// that are passed on without end; a search for a free slot ends sooner, as each refusal reports a load.
-inline constexpr std::uint32_t max_redirects = 8;
+inline constexpr std::uint32_t max_redirects = 16;
 
 /// State of a request's attempts so far.
 struct retry_state {
--- a/src/pomeloloft/sidecar/overload_test.cpp
+++ b/src/pomeloloft/sidecar/overload_test.cpp
@@ -88,6 +88,17 @@
     return values.empty() ? microseconds{0} : values[values.size() * number / 10];
 }
 
+/// Standard error of the difference between two shares of served callers, of at least one caller.
+double standard_error(const caller_results& a, const caller_results& b)
+{
+    const auto variance = [](const caller_results& of) {
+        const double share = of.served_share();
+        const auto sent = static_cast<double>(of.sent);
+        return std::max(share * (1.0 - share), 1.0 / sent) / sent;
+    };
+    return std::sqrt(variance(a) + variance(b));
+}
+
 /// A service in virtual time: the decisions are those of the sidecars, slots and the network are modelled.
 class modelled_service {
 public:
@@ -266,6 +277,7 @@
             endpoint_load& load = this->loads[request->sender][number];
             --load.in_flight;
             apply_load_report(load, report, this->now);
+            record_network_time(load, 2 * network_latency);
             this->handle(request, number, ended);
         });
     }
@@ -333,7 +345,8 @@
     BOOST_TEST(all.served_share() >= row.min_served * possible);
     BOOST_TEST(decile(all.response_times, 9).count() <= microseconds(row.ninth_decile).count());
     // Requests that were refused elsewhere before are neither preferred nor held back.
-    BOOST_TEST(std::abs(fresh.served_share() - again.served_share()) < 0.02);
+    const double difference = std::abs(fresh.served_share() - again.served_share());
+    BOOST_TEST(difference <= 3.0 * standard_error(fresh, again));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
