Compare endpoints by the measured network time instead of fixed costs

What callers saw: a request queued for up to 60 ms in its own data centre while a target 3 ms away had a free slot, and a body of 60 KB counted as 120 ms to another data centre whatever the links were.

A caller only waits for the network.

Now the sidecar beside a target states how long it held a request (x-pomeloloft-held); the sender smooths the rest of the exchange per endpoint. Endpoints that were not measured count like the mean of those in the same or in the other data centres. A body counts with its transfer time on this VM's link.

Bodies sent after 100 Continue are not measured: their time includes the wait for their admission.

--- a/include/pomeloloft/sidecar/choose.hpp
+++ b/include/pomeloloft/sidecar/choose.hpp
@@ -23,6 +23,9 @@
     std::uint32_t service_us = 0;
     /// Expected wait for the network link of the endpoint's VM, in milliseconds.
     std::uint32_t link_ms = 0;
+    /// Smoothed time that requests and responses spend between the two sidecars, in microseconds; 0 when
+    /// unknown.
+    std::uint32_t network_us = 0;
     /// Smoothed share of recent requests that the target failed, in percent.
     std::uint32_t failed_percent = 0;
     /// Smoothed share of recent requests that the target rejected without running them, in percent.
@@ -57,15 +60,13 @@
     /// Milliseconds added for a target that rejects every request. The penalty grows with the fourth power of
     /// the rejected share, because a rejected request can be sent elsewhere at once.
     double rejection_penalty_ms = 2000.0;
-    /// Milliseconds added for an endpoint on another VM.
-    double remote_vm_ms = 1.0;
-    /// Milliseconds added for each KB of request body sent to another VM: its transfer time on the VM's link.
-    double remote_vm_ms_per_kb = 0.008;
-    /// Milliseconds added for an endpoint in another data centre, for network latency and the cost of the
-    /// traffic.
-    double remote_data_centre_ms = 60.0;
-    /// Milliseconds added for each KB of request body sent to another data centre.
-    double remote_data_centre_ms_per_kb = 2.0;
+    /// Transfer time of a KB of request body to another VM, by the bandwidth of this VM's link, in
+    /// milliseconds.
+    double transfer_ms_per_kb = 0.008;
+    /// Network time assumed for endpoints in the same and in other data centres that were not measured yet,
+    /// in milliseconds.
+    double default_local_network_ms = 0.0;
+    double default_remote_network_ms = 0.0;
     /// Service time assumed while no endpoint has reported one, in milliseconds.
     double default_service_ms = 50.0;
     /// Load per slot assumed of an endpoint in so far as its last load report has decayed.
@@ -93,7 +94,7 @@
 /// Estimated number of requests that run or wait at an endpoint.
 [[nodiscard]] double estimated_load(const endpoint_load& load, time_point now, const choice_options& options);
 
-/// Expected time until the endpoint responds, in milliseconds, including penalties for distance and failures.
+/// Expected time until the endpoint responds, in milliseconds, including penalties for failures.
 [[nodiscard]] double expected_response_ms(const candidate& c, const choice_request& request,
                                           const choice_options& options);
 
@@ -134,6 +135,9 @@
     std::uint32_t rejected_percent = 0;
 };
 
+/// Records the time that a request and its response spent between the two sidecars.
+void record_network_time(endpoint_load& load, std::chrono::microseconds sample);
+
 /// Applies a load report received from an endpoint.
 void apply_load_report(endpoint_load& load, const load_report& report, time_point now);
 
--- a/include/pomeloloft/sidecar/peer_headers.hpp
+++ b/include/pomeloloft/sidecar/peer_headers.hpp
@@ -29,6 +29,8 @@
 inline constexpr const char* wait = "x-pomeloloft-wait";
 /// `RUNNING WAITING SLOTS SERVICE_US LINK_MS FAILED_PERCENT REJECTED_PERCENT`.
 inline constexpr const char* load = "x-pomeloloft-load";
+/// Time from a request's arrival to its response at the peer, in microseconds.
+inline constexpr const char* held = "x-pomeloloft-held";
 /// Node of the sending sidecar.
 inline constexpr const char* node = "x-pomeloloft-node";
 /// Configuration version that the sender holds.
--- a/include/pomeloloft/traffic/smoothed_time.hpp
+++ b/include/pomeloloft/traffic/smoothed_time.hpp
@@ -6,6 +6,9 @@
 
 namespace pomeloloft {
 
+/// Average in microseconds after a further sample, which has a weight of 1/8; an average of 0 has no samples.
+[[nodiscard]] std::uint32_t smoothed_micros(std::uint32_t average_us, std::chrono::microseconds sample);
+
 /// Exponentially weighted moving average of a duration, in microseconds; each sample has a weight of 1/8.
 /// Thread-safe: of concurrent samples, one may be lost, which is acceptable for an average.
 class smoothed_time {
--- a/src/pomeloloft/sidecar/choose.cpp
+++ b/src/pomeloloft/sidecar/choose.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "pomeloloft/base/hash.hpp"
+#include "pomeloloft/traffic/smoothed_time.hpp"
 
 namespace pomeloloft::sidecar {
 namespace {
@@ -82,6 +83,42 @@
     return load_per_slot / std::max(weight, 1.0);
 }
 
+/// Mean network time to the endpoints of the same or of other data centres; zero when none is known.
+double mean_network_ms(std::span<const candidate> candidates, bool same_data_centre)
+{
+    double total_us = 0;
+    std::size_t known = 0;
+    for (const candidate& c : candidates) {
+        const bool counts = c.same_data_centre == same_data_centre && c.load->network_us > 0;
+        total_us += counts ? c.load->network_us : 0;
+        known += counts ? 1 : 0;
+    }
+    return known > 0 ? total_us / us_per_ms / static_cast<double>(known) : 0.0;
+}
+
+/// Time that a request and its response spend on the network, without the transfer of the request's body.
+double network_ms_of(const candidate& c, const choice_options& options)
+{
+    if (c.is_own_target) {
+        return 0.0;
+    }
+    if (c.load->network_us > 0) {
+        return c.load->network_us / us_per_ms;
+    }
+    return c.same_data_centre ? options.default_local_network_ms : options.default_remote_network_ms;
+}
+
+/// Time to transfer the body of a request, and to wait for the link of the endpoint's VM.
+double transfer_ms_of(const candidate& c, const choice_request& request, const choice_options& options)
+{
+    if (c.is_own_target) {
+        return 0.0;
+    }
+    const double kb = static_cast<double>(request.body_bytes) / bytes_per_kb;
+    return options.transfer_ms_per_kb * kb +
+           c.load->link_ms * decay_factor(*c.load, request.now, options.load_decay_time);
+}
+
 /// Expected wait for a slot, in milliseconds.
 double expected_wait_ms(const candidate& c, time_point now, const choice_options& options)
 {
@@ -126,12 +163,13 @@
 {
     const candidate& c = *best.endpoint;
     const double wait = expected_wait_ms(c, request.now, options);
-    chosen_endpoint out{&c, to_milliseconds(wait), to_milliseconds(wait + service_ms_of(*c.load, options)),
-                        std::nullopt};
+    const double network = network_ms_of(c, options);
+    const double response =
+        wait + service_ms_of(*c.load, options) + network + transfer_ms_of(c, request, options);
+    chosen_endpoint out{&c, to_milliseconds(wait), to_milliseconds(response), std::nullopt};
     if (second.endpoint != nullptr) {
-        const double refusal_ms = c.is_own_target ? 0.0 : options.remote_vm_ms;
         const double cost_without_wait = expected_response_ms(c, request, options) - wait;
-        out.max_wait = to_milliseconds(std::max(0.0, second.cost_ms - cost_without_wait + refusal_ms));
+        out.max_wait = to_milliseconds(std::max(0.0, second.cost_ms - cost_without_wait + network));
     }
     return out;
 }
@@ -154,15 +192,7 @@
     const double slots = std::max(load.slots, 1U);
     const double wait = expected_wait_ms(c, request.now, options);
     const double busy = std::min(1.0, estimated_load(load, request.now, options) / slots);
-    double distance = c.is_own_target ? 0.0 : options.remote_vm_ms;
-    const double kb = static_cast<double>(request.body_bytes) / bytes_per_kb;
-    if (!c.is_own_target) {
-        distance += options.remote_vm_ms_per_kb * kb +
-                    load.link_ms * decay_factor(load, request.now, options.load_decay_time);
-    }
-    if (!c.is_own_target && !c.same_data_centre) {
-        distance += options.remote_data_centre_ms + options.remote_data_centre_ms_per_kb * kb;
-    }
+    const double distance = network_ms_of(c, options) + transfer_ms_of(c, request, options);
     const double failing = penalty_ms_of(load, request.now, options);
     return wait + service * (1.0 + options.full_load_slowdown * busy) + distance + failing;
 }
@@ -171,6 +201,8 @@
 {
     choice_options with_means = options;
     with_means.default_service_ms = mean_service_ms(request.candidates, options);
+    with_means.default_local_network_ms = mean_network_ms(request.candidates, true);
+    with_means.default_remote_network_ms = mean_network_ms(request.candidates, false);
     with_means.default_load_per_slot = mean_load_per_slot(request.candidates, request.now, options);
     bool in_backoff = false;
     ranked_endpoint best = best_of(request, with_means, in_backoff);
@@ -200,6 +232,11 @@
     load.backoff_until = {};
 }
 
+void record_network_time(endpoint_load& load, std::chrono::microseconds sample)
+{
+    load.network_us = smoothed_micros(load.network_us, sample);
+}
+
 void apply_load_report(endpoint_load& load, const load_report& report, time_point now)
 {
     load.reported_load = report.running + report.waiting;
--- a/src/pomeloloft/sidecar/outbound_router.cpp
+++ b/src/pomeloloft/sidecar/outbound_router.cpp
@@ -131,7 +131,7 @@
 {
     constexpr double kbit_per_kb = 8.0;
     const double mbps = std::max(process_state.local_settings.link_mbps, 1U);
-    this->options.remote_vm_ms_per_kb = kbit_per_kb / mbps;
+    this->options.transfer_ms_per_kb = kbit_per_kb / mbps;
 }
 
 bool outbound_router::is_crash_suspect(const net::request& received, time_point now) const
--- a/src/pomeloloft/sidecar/peer_forwarding.cpp
+++ b/src/pomeloloft/sidecar/peer_forwarding.cpp
@@ -78,9 +78,23 @@
     response.erase(peer_header::wait);
     response.erase(peer_header::crash);
     response.erase(peer_header::load);
+    response.erase(peer_header::held);
     response.erase(peer_header::config);
 }
 
+/// Records the network time of an exchange that took `elapsed`.
+/// @param transfer_time time to transfer the request's body, which does not count.
+void record_held_time(endpoint_load& load, const net::response& response, steady_clock::duration elapsed,
+                      milliseconds transfer_time)
+{
+    using std::chrono::microseconds;
+    const auto held = parse_number<std::int64_t>(net::header_text(response, peer_header::held));
+    if (held && *held >= 0) {
+        const auto elapsed_us = std::chrono::duration_cast<microseconds>(elapsed);
+        record_network_time(load, elapsed_us - microseconds(*held) - transfer_time);
+    }
+}
+
 void set_call_headers(net::request& sent, const target_call& call, time_point now)
 {
     sent.set(peer_header::service, call.service);
@@ -165,6 +179,9 @@
     if (const auto report = decode_load(net::header_text(response, peer_header::load))) {
         apply_load_report(load, *report, steady_clock::now());
     }
+    if (!options.wait_for_continue) {
+        record_held_time(load, response, steady_clock::now() - now, this->bodies.transfer_time(sent_bytes));
+    }
     this->feed.handle_announced_version(node, net::header_text(response, peer_header::config));
     out.outcome = value_of(attempt_outcome_names, net::header_text(response, peer_header::outcome))
                       .value_or(attempt_outcome::lost);
@@ -308,6 +325,7 @@
 
 net::task<net::reply> peer_links::serve_forwarded(net::request& received, net::client_watch& sender)
 {
+    const time_point arrived = steady_clock::now();
     forwarded forwarded_request = this->read_forwarded(received);
     forwarded_request.call.caller = &sender;
     const std::string& attempt = forwarded_request.attempt;
@@ -335,6 +353,8 @@
     this->shared.link.record(received.body().size() + call_result.response.body().size(),
                              steady_clock::now());
     net::reply out{this->make_response_to_peer(forwarded_request.request_id, std::move(call_result))};
+    const auto held = std::chrono::duration_cast<std::chrono::microseconds>(steady_clock::now() - arrived);
+    out.response.set(peer_header::held, std::to_string(held.count()));
     co_return out;
 }
 
