Weigh failures and rejections in the caller's time, not in fixed penalties

What callers saw: a request with 2 s left went to a target that failed half of its requests rather than wait 0.3 s elsewhere, as a failed share of a half cost 250 ms whatever the caller's time.

Now a failed share costs that share of the caller's time left; a rejected share p costs p / (1 - p) further attempts of the mean service time; and a request at a busy target counts the time by which it delays the next one (service time by slots). The constants are gone.

--- a/include/pomeloloft/sidecar/choose.hpp
+++ b/include/pomeloloft/sidecar/choose.hpp
@@ -53,13 +53,6 @@
     /// Time over which reported failure and rejection shares decay linearly to zero. It is longer than for
     /// the load, because every sender whose report has expired loses a request to a failing target.
     milliseconds failure_decay_time{5000};
-    /// Milliseconds added for a target that fails every request. The penalty grows with the third power of
-    /// the failed share, so that the few failures of a healthy target hardly count and a long queue elsewhere
-    /// outweighs a moderate failure share.
-    double failure_penalty_ms = 2000.0;
-    /// Milliseconds added for a target that rejects every request. The penalty grows with the fourth power of
-    /// the rejected share, because a rejected request can be sent elsewhere at once.
-    double rejection_penalty_ms = 2000.0;
     /// Transfer time of a KB of request body to another VM, by the bandwidth of this VM's link, in
     /// milliseconds.
     double transfer_ms_per_kb = 0.008;
@@ -71,8 +64,6 @@
     double default_service_ms = 50.0;
     /// Load per slot assumed of an endpoint in so far as its last load report has decayed.
     double default_load_per_slot = 0.0;
-    /// Fraction of the service time added at full load, because targets slow down when nearly full.
-    double full_load_slowdown = 0.3;
     /// Relative spread of the random factor on the cost, so that senders with the same load reports do not
     /// all choose the same endpoint.
     double jitter = 0.15;
@@ -89,15 +80,22 @@
     std::size_t body_bytes = 0;
     std::uint64_t random = 0;
     time_point now;
+    time_point deadline = no_deadline;
 };
 
 /// Estimated number of requests that run or wait at an endpoint.
 [[nodiscard]] double estimated_load(const endpoint_load& load, time_point now, const choice_options& options);
 
-/// Expected time until the endpoint responds, in milliseconds, including penalties for failures.
+/// Expected time until the endpoint responds, in milliseconds.
 [[nodiscard]] double expected_response_ms(const candidate& c, const choice_request& request,
                                           const choice_options& options);
 
+/// Expected cost of sending a request to an endpoint, in milliseconds of its caller's time: the time until
+/// the response, the time lost if the target fails or rejects the request, and the time for which the request
+/// delays the next one.
+[[nodiscard]] double expected_cost_ms(const candidate& c, const choice_request& request,
+                                      const choice_options& options);
+
 /// The result of a choice.
 struct chosen_endpoint {
     /// Null when every endpoint was tried.
@@ -111,7 +109,7 @@
     std::optional<milliseconds> max_wait;
 };
 
-/// Chooses the untried endpoint with the lowest expected response time. Endpoints in backoff are chosen only
+/// Chooses the untried endpoint with the lowest expected cost. Endpoints in backoff are chosen only
 /// when no other is left. An endpoint that has not reported a service time is assumed to need the mean of the
 /// others, and one without a recent load report to be as loaded as those that have reported. The estimate
 /// handles uneven and changing load, targets of different speed, and targets that fail fast and therefore
--- a/src/pomeloloft/sidecar/choose.cpp
+++ b/src/pomeloloft/sidecar/choose.cpp
@@ -43,15 +43,17 @@
     return percent / percent_scale;
 }
 
-double penalty_ms_of(const endpoint_load& load, time_point now, const choice_options& options)
+/// Time that a caller is expected to lose because the target fails or rejects the request.
+double lost_ms_of(const endpoint_load& load, const choice_request& request, const choice_options& options)
 {
-    constexpr int failed_power = 3;
-    constexpr int rejected_power = 4;
-    const double failed =
-        options.failure_penalty_ms * std::pow(fraction_of(load.failed_percent), failed_power);
-    const double rejected =
-        options.rejection_penalty_ms * std::pow(fraction_of(load.rejected_percent), rejected_power);
-    return (failed + rejected) * decay_factor(load, now, options.failure_decay_time);
+    // A failed run may not be repeated, or not in time, so the caller loses all the time that it has left. A
+    // rejected request is sent to other endpoints, about one after the other until one accepts it.
+    constexpr double max_rejected = 0.99;
+    const double current = decay_factor(load, request.now, options.failure_decay_time);
+    const double failed = fraction_of(load.failed_percent) * current;
+    const double rejected = std::min(max_rejected, fraction_of(load.rejected_percent) * current);
+    const auto left_ms = static_cast<double>(remaining(request.deadline, request.now).count());
+    return failed * left_ms + rejected / (1.0 - rejected) * options.default_service_ms;
 }
 
 double mean_service_ms(std::span<const candidate> candidates, const choice_options& options)
@@ -144,8 +146,7 @@
         if (is_excluded || (c.load->backoff_until > request.now) != in_backoff) {
             continue;
         }
-        const double cost_ms =
-            expected_response_ms(c, request, options) * jitter_of(i, request, options.jitter);
+        const double cost_ms = expected_cost_ms(c, request, options) * jitter_of(i, request, options.jitter);
         if (best.endpoint == nullptr || cost_ms < best.cost_ms) {
             best = {&c, cost_ms};
         }
@@ -163,13 +164,12 @@
 {
     const candidate& c = *best.endpoint;
     const double wait = expected_wait_ms(c, request.now, options);
-    const double network = network_ms_of(c, options);
-    const double response =
-        wait + service_ms_of(*c.load, options) + network + transfer_ms_of(c, request, options);
+    const double response = expected_response_ms(c, request, options);
     chosen_endpoint out{&c, to_milliseconds(wait), to_milliseconds(response), std::nullopt};
     if (second.endpoint != nullptr) {
-        const double cost_without_wait = expected_response_ms(c, request, options) - wait;
-        out.max_wait = to_milliseconds(std::max(0.0, second.cost_ms - cost_without_wait + network));
+        const double refusal = network_ms_of(c, options);
+        const double cost_without_wait = expected_cost_ms(c, request, options) - wait;
+        out.max_wait = to_milliseconds(std::max(0.0, second.cost_ms - cost_without_wait + refusal));
     }
     return out;
 }
@@ -187,14 +187,16 @@
 
 double expected_response_ms(const candidate& c, const choice_request& request, const choice_options& options)
 {
-    const endpoint_load& load = *c.load;
-    const double service = service_ms_of(load, options);
-    const double slots = std::max(load.slots, 1U);
-    const double wait = expected_wait_ms(c, request.now, options);
-    const double busy = std::min(1.0, estimated_load(load, request.now, options) / slots);
-    const double distance = network_ms_of(c, options) + transfer_ms_of(c, request, options);
-    const double failing = penalty_ms_of(load, request.now, options);
-    return wait + service * (1.0 + options.full_load_slowdown * busy) + distance + failing;
+    return expected_wait_ms(c, request.now, options) + service_ms_of(*c.load, options) +
+           network_ms_of(c, options) + transfer_ms_of(c, request, options);
+}
+
+double expected_cost_ms(const candidate& c, const choice_request& request, const choice_options& options)
+{
+    const double slots = std::max(c.load->slots, 1U);
+    const double busy = std::min(1.0, estimated_load(*c.load, request.now, options) / slots);
+    const double delay_of_next = busy * service_ms_of(*c.load, options) / slots;
+    return expected_response_ms(c, request, options) + delay_of_next + lost_ms_of(*c.load, request, options);
 }
 
 chosen_endpoint choose(const choice_request& request, const choice_options& options)
--- a/src/pomeloloft/sidecar/outbound_router.cpp
+++ b/src/pomeloloft/sidecar/outbound_router.cpp
@@ -286,7 +286,8 @@
         return std::nullopt;
     }
     const chosen_endpoint chosen =
-        choose({found->second.candidates, context.tried, body_bytes, random_draw(), now}, this->options);
+        choose({found->second.candidates, context.tried, body_bytes, random_draw(), now, context.deadline},
+               this->options);
     if (chosen.endpoint == nullptr) {
         return std::nullopt;
     }
