State in Retry-After when a caller can be served

What callers saw: refused with 20 ms where a slot was free in 4, with 1 s at most where it took 3 s, and with 5 s for a request that is refused for ten minutes.

Cause: the expected wait was clamped to 20 ms and 1 s; the quarantine had a constant instead of its end.

Evidence: sidecar_policies retry_delays_are_spread_around_the_expected_wait with 4 and 3,000 ms: all 400 checks failed with the clamps; suspects the_end_of_a_quarantine_is_known is new.

Now Retry-After is the expected wait, spread by half of it to either side so that callers refused together do not return together; the time left of a quarantine; or, where no endpoint can be reached, the time for which an endpoint is passed over after its first failure.

--- a/include/pomeloloft/sidecar/outbound_router.hpp
+++ b/include/pomeloloft/sidecar/outbound_router.hpp
@@ -41,6 +41,9 @@
     net::response make_final_response(const net::request& received, request_context& context);
 
     [[nodiscard]] bool is_crash_suspect(const net::request& received, time_point now) const;
+    [[nodiscard]] milliseconds quarantine_left(const net::request& received, time_point now) const;
+    /// Expected time until an endpoint has a free slot.
+    [[nodiscard]] milliseconds time_until_free(const request_context& context) const;
     void update_crash_suspects(const net::request& received, const target_call_result& call_result);
     void log_failed_attempt(const net::request& received, const request_context& context,
                             const std::string& node, const target_call_result& call_result);
--- a/include/pomeloloft/sidecar/suspects.hpp
+++ b/include/pomeloloft/sidecar/suspects.hpp
@@ -86,6 +86,9 @@
         return this->crash_count(fingerprint, now) >= this->options.quarantine_threshold;
     }
 
+    /// Time for which a request must still be refused; zero if it is not quarantined.
+    [[nodiscard]] milliseconds quarantine_left(std::uint64_t fingerprint, time_point now) const;
+
     /// Whether no suspects are tracked. Checked first to avoid computing a fingerprint.
     [[nodiscard]] bool empty() const { return this->suspects.empty(); }
 
--- a/src/pomeloloft/sidecar/outbound_router.cpp
+++ b/src/pomeloloft/sidecar/outbound_router.cpp
@@ -18,8 +18,6 @@
 
 /// `Retry-After` while no configuration is known.
 constexpr milliseconds retry_after_no_config{500};
-/// `Retry-After` for a request that crashes targets; the observations expire after a while.
-constexpr milliseconds retry_after_suspect{5000};
 /// `Retry-After` while the process shuts down: another sidecar can serve the caller immediately.
 constexpr milliseconds retry_after_shutdown{50};
 
@@ -141,6 +139,20 @@
                                                 now);
 }
 
+milliseconds outbound_router::quarantine_left(const net::request& received, time_point now) const
+{
+    // Where only the endpoint has the observations yet, this sidecar learns them before the caller returns.
+    return std::max(this->shared.suspects.quarantine_left(
+                        fingerprint_of(received, this->shared.local_settings.headers), now),
+                    this->options.initial_backoff);
+}
+
+milliseconds outbound_router::time_until_free(const request_context& context) const
+{
+    // Endpoints that cannot be reached state no wait; they are passed over for the first backoff.
+    return context.min_wait.count() > 0 ? context.min_wait : this->options.initial_backoff;
+}
+
 void outbound_router::update_crash_suspects(const net::request& received,
                                             const target_call_result& call_result)
 {
@@ -233,7 +245,7 @@
     received.prepare_payload();
     if (this->is_crash_suspect(received, context.started)) {
         ++this->shared.counters.quarantined;
-        co_return unavailable(retry_after_suspect);
+        co_return unavailable(this->quarantine_left(received, context.started));
     }
     context.state.idempotent = context.route->idempotent;
     context.state.max_dispatches = context.route->max_attempts;
@@ -343,10 +355,10 @@
     case final_status::not_run:
         if (context.state.last == attempt_outcome::quarantined) {
             ++counters.quarantined;
-            return unavailable(retry_after_suspect);
+            return unavailable(this->quarantine_left(received, steady_clock::now()));
         }
         ++counters.refused;
-        return unavailable(retry_after(context.min_wait, random_draw()));
+        return unavailable(retry_after(this->time_until_free(context), random_draw()));
     case final_status::timed_out:
         ++counters.timed_out;
         return net::make_response(http::status::gateway_timeout);
--- a/src/pomeloloft/sidecar/policy_test.cpp
+++ b/src/pomeloloft/sidecar/policy_test.cpp
@@ -473,12 +473,13 @@
     BOOST_TEST(narrow.wait_ms(now + milliseconds(5000)) < 10U);
 }
 
-BOOST_AUTO_TEST_CASE(retry_delays_are_spread_around_the_expected_wait)
+BOOST_DATA_TEST_CASE(retry_delays_are_spread_around_the_expected_wait,
+                     boost::unit_test::data::make({4, 100, 3000}), wait_ms)
 {
     constexpr std::uint64_t draws = 200;
     for (std::uint64_t draw = 0; draw < draws; ++draw) {
-        const milliseconds delay = retry_after(milliseconds(100), draw);
-        BOOST_TEST((delay >= milliseconds(50) && delay < milliseconds(150)));
+        const milliseconds delay = retry_after(milliseconds(wait_ms), draw);
+        BOOST_TEST((delay >= milliseconds(wait_ms / 2) && delay < milliseconds(wait_ms + wait_ms / 2)));
     }
 }
 
--- a/src/pomeloloft/sidecar/retry_policy.cpp
+++ b/src/pomeloloft/sidecar/retry_policy.cpp
@@ -96,9 +96,7 @@
 
 milliseconds retry_after(milliseconds expected_wait, std::uint64_t random)
 {
-    constexpr milliseconds min_delay{20};
-    constexpr milliseconds max_delay{1000};
-    const milliseconds base = std::clamp(expected_wait, min_delay, max_delay);
+    const milliseconds base = std::max(expected_wait, milliseconds{1});
     return base / 2 + milliseconds(random % static_cast<std::uint64_t>(base.count()));
 }
 
--- a/src/pomeloloft/sidecar/suspects.cpp
+++ b/src/pomeloloft/sidecar/suspects.cpp
@@ -1,6 +1,7 @@
 #include "pomeloloft/sidecar/suspects.hpp"
 
 #include <algorithm>
+#include <functional>
 #include <tuple>
 
 #include "pomeloloft/base/hash.hpp"
@@ -60,6 +61,22 @@
                       [now](const observed_crash& c) { return now < c.expires_at; }));
 }
 
+milliseconds crash_suspects::quarantine_left(std::uint64_t fingerprint, time_point now) const
+{
+    const auto found = this->suspects.find(fingerprint);
+    const std::size_t threshold = this->options.quarantine_threshold;
+    if (found == this->suspects.end() || found->second.size() < threshold) {
+        return milliseconds{0};
+    }
+    std::vector<time_point> ends;
+    for (const observed_crash& observed : found->second) {
+        ends.push_back(observed.expires_at);
+    }
+    // The quarantine ends when fewer observations than the threshold are left.
+    std::sort(ends.begin(), ends.end(), std::greater<>{});
+    return remaining(ends[threshold - 1], now);
+}
+
 std::vector<crash_observation> crash_suspects::observations_to_share(observation_selection selection,
                                                                      time_point now) const
 {
--- a/src/pomeloloft/sidecar/suspects_test.cpp
+++ b/src/pomeloloft/sidecar/suspects_test.cpp
@@ -1,3 +1,4 @@
+#include <array>
 #include <limits>
 #include <string>
 #include <vector>
@@ -121,6 +122,22 @@
     BOOST_TEST(second.crash_count(crashing_request, now + crash_observation_retention) == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(the_end_of_a_quarantine_is_known)
+{
+    const time_point now = steady_clock::now();
+    crash_suspects suspects;
+    BOOST_TEST((suspects.quarantine_left(crashing_request, now) == milliseconds{0}));
+    const std::array<milliseconds, 4> expiries{milliseconds{9000}, milliseconds{2000}, milliseconds{7000},
+                                               milliseconds{5000}};
+    for (std::size_t i = 0; i < expiries.size(); ++i) {
+        suspects.add({crashing_request, "n1#5." + std::to_string(i), expiries[i]}, now);
+    }
+    const milliseconds left = suspects.quarantine_left(crashing_request, now);
+    BOOST_TEST((left == milliseconds{5000}));
+    BOOST_TEST(suspects.is_quarantined(crashing_request, now + left - milliseconds{1}));
+    BOOST_TEST(!suspects.is_quarantined(crashing_request, now + left));
+}
+
 BOOST_AUTO_TEST_CASE(peers_do_not_bring_back_a_cleared_request)
 {
     const time_point now = steady_clock::now();
