pomeloloft proxy: hold a refused request back by what its run leaves, not by an eighth

What callers saw: a request refused for load with 80 ms left was held back for up to 10 ms although the run takes 75; with 1 s left and a run of 10 ms the eighth bounded nothing.

Cause: retry_backoff took an eighth of the time left as its bound.

Now the bound is the time left without the endpoint's observed response time (spare_time).

--- a/include/pomeloloft/traffic/retry.hpp
+++ b/include/pomeloloft/traffic/retry.hpp
@@ -56,12 +56,18 @@
 /// Whether another attempt is safe and allowed. The retry budget is checked separately.
 [[nodiscard]] bool may_retry(const retry_inputs& inputs, time_point now);
 
+/// Time for which a request can be held back and still get its response: the time left without the time that
+/// an endpoint takes to respond.
+/// @param response_time observed response time; zero if unknown.
+[[nodiscard]] milliseconds spare_time(time_point deadline, time_point now,
+                                      std::chrono::microseconds response_time);
+
 /// Backoff before the retry of a request that was refused because of load: exponential with full jitter, so
 /// that requests refused at the same time are not retried at the same time. The upper bound doubles with each
-/// attempt, and is limited so that most of the time left remains for the retry.
-/// @param left time until the deadline of the request.
+/// attempt.
+/// @param spare upper bound on the backoff, by `spare_time`.
 /// @param random independent random bits.
-[[nodiscard]] milliseconds retry_backoff(std::uint32_t attempts_made, milliseconds left,
+[[nodiscard]] milliseconds retry_backoff(std::uint32_t attempts_made, milliseconds spare,
                                          std::uint64_t random);
 
 /// Limits retries to a share of requests: each request adds a tenth of a retry to the budget, up to a
--- a/src/pomeloloft/proxy/route_request.cpp
+++ b/src/pomeloloft/proxy/route_request.cpp
@@ -307,8 +307,10 @@
         }
         ++board.requests.retries;
         if (last_result.reason == refusal_reason::overloaded) {
-            std::this_thread::sleep_for(
-                retry_backoff(history.sent, remaining(head.deadline, steady_clock::now()), random_draw()));
+            const std::chrono::microseconds response_time{
+                chosen->load->response_time_us.load(std::memory_order_relaxed)};
+            const milliseconds spare = spare_time(head.deadline, steady_clock::now(), response_time);
+            std::this_thread::sleep_for(retry_backoff(history.sent, spare, random_draw()));
         }
     }
 }
--- a/src/pomeloloft/traffic/retry.cpp
+++ b/src/pomeloloft/traffic/retry.cpp
@@ -30,13 +30,17 @@
            inputs.attempts_made < max_attempts && now < inputs.deadline;
 }
 
-milliseconds retry_backoff(std::uint32_t attempts_made, milliseconds left, std::uint64_t random)
+milliseconds spare_time(time_point deadline, time_point now, std::chrono::microseconds response_time)
+{
+    return deadline == no_deadline ? milliseconds::max() : remaining(deadline - response_time, now);
+}
+
+milliseconds retry_backoff(std::uint32_t attempts_made, milliseconds spare, std::uint64_t random)
 {
     constexpr milliseconds first_bound{10};
     constexpr std::uint32_t max_doublings = 4;
-    constexpr int time_left_divisor = 8;
     const std::uint32_t doublings = std::min(attempts_made - std::min(attempts_made, 1U), max_doublings);
-    const milliseconds bound = std::min(first_bound * (1U << doublings), left / time_left_divisor);
+    const milliseconds bound = std::min(first_bound * (1U << doublings), spare);
     return milliseconds(random % static_cast<std::uint64_t>(bound.count() + 1));
 }
 
