End the search where the best endpoint refuses, by the request's own place in the queue

The gate serves by priority and deadline, so a request with little time is first in that queue, and a request that finds a free slot runs whatever the deviation.

Now the sender asks the endpoint with the least cost and the gate decides. A gate states the wait for this very request. If that exceeds the accepted wait, another endpoint is better; if it does not, this one is still the best, so a refusal for lack of time holds for all and the caller is refused at once. Neither depends on how often the request was refused. The stated wait is rounded up, or a wait within the same millisecond would count as accepted.

--- a/include/pomeloloft/sidecar/choose.hpp
+++ b/include/pomeloloft/sidecar/choose.hpp
@@ -21,8 +21,6 @@
     std::uint32_t slots = 1;
     /// Smoothed time a request occupies a slot of the target, in microseconds; 0 when unknown.
     std::uint32_t service_us = 0;
-    /// Time that few runs at the target exceed, in microseconds; 0 when unknown.
-    std::uint32_t max_service_us = 0;
     /// Expected wait for the network link of the endpoint's VM, in milliseconds.
     std::uint32_t link_ms = 0;
     /// Smoothed time that requests and responses spend between the two sidecars, in microseconds; 0 when
@@ -104,8 +102,6 @@
     const candidate* endpoint = nullptr;
     /// Expected wait for a slot at the chosen endpoint.
     milliseconds wait{0};
-    /// Time within which the response is expected even if the run takes longer than most.
-    milliseconds response_time{0};
     /// Wait for a slot from which another endpoint is expected to respond sooner, including the time to ask
     /// it; nothing if there is no other.
     std::optional<milliseconds> max_wait;
@@ -133,7 +129,6 @@
     std::uint32_t link_ms = 0;
     std::uint32_t failed_percent = 0;
     std::uint32_t rejected_percent = 0;
-    std::uint32_t max_service_us = 0;
 };
 
 /// Records the time that a request and its response spent between the two sidecars.
--- a/include/pomeloloft/sidecar/outbound_router.hpp
+++ b/include/pomeloloft/sidecar/outbound_router.hpp
@@ -29,14 +29,12 @@
     net::task<net::response> send_with_retries(net::request& received, request_context& context);
 
     /// Picks the next endpoint.
-    /// @return nothing when no endpoint is left or none can respond in time.
+    /// @return nothing when no endpoint is left.
     std::optional<chosen_endpoint> pick_endpoint(request_context& context, std::size_t body_bytes,
                                                  time_point now);
     /// Records the result of an attempt at a node and decides the next step.
     next_step handle_result(const net::request& sent, request_context& context, const std::string& node,
                             target_call_result call_result);
-    /// Records an expected wait for a slot; the shortest determines when a refused caller may return.
-    static void record_wait(request_context& context, milliseconds wait);
     /// Builds the response to the caller.
     net::response make_final_response(const net::request& received, request_context& context);
 
--- a/include/pomeloloft/sidecar/peer_headers.hpp
+++ b/include/pomeloloft/sidecar/peer_headers.hpp
@@ -27,7 +27,7 @@
 inline constexpr const char* crash = "x-pomeloloft-broke-target";
 /// Expected wait for a slot, in milliseconds.
 inline constexpr const char* wait = "x-pomeloloft-wait";
-/// `RUNNING WAITING SLOTS SERVICE_US LINK_MS FAILED_PERCENT REJECTED_PERCENT MAX_SERVICE_US`.
+/// `RUNNING WAITING SLOTS SERVICE_US LINK_MS FAILED_PERCENT REJECTED_PERCENT`.
 inline constexpr const char* load = "x-pomeloloft-load";
 /// Time from a request's arrival to its response at the peer, in microseconds.
 inline constexpr const char* held = "x-pomeloloft-held";
--- a/include/pomeloloft/sidecar/retry_policy.hpp
+++ b/include/pomeloloft/sidecar/retry_policy.hpp
@@ -12,6 +12,16 @@
 /// that are passed on without end; a search for a free slot ends sooner, as each refusal reports a load.
 inline constexpr std::uint32_t max_redirects = 16;
 
+/// Why an endpoint has refused a request.
+enum class refusal_cause : std::uint8_t {
+    /// Another endpoint is expected to respond sooner.
+    slower_than_others,
+    /// The run could not end by the deadline, at the endpoint that is expected to respond first.
+    too_late,
+    /// Neither: for example, the target accepts no further connection.
+    other,
+};
+
 /// State of a request's attempts so far.
 struct retry_state {
     bool idempotent = false;
@@ -28,6 +38,8 @@
     attempt_outcome last = attempt_outcome::unavailable;
     /// The last response is a server error of the target.
     bool target_failed = false;
+    /// Why the last attempt was refused.
+    refusal_cause refused_because = refusal_cause::other;
 };
 
 /// Records the outcome of an attempt.
@@ -61,13 +73,8 @@
 /// respond sooner, and no longer than the caller waits for the response.
 [[nodiscard]] milliseconds max_queue_wait(const chosen_endpoint& chosen, time_point now, time_point deadline);
 
-/// Whether the best response time that can be expected exceeds the time left. The request is then refused at
-/// once, so that its caller does not wait in vain.
-[[nodiscard]] bool is_too_late(const chosen_endpoint& chosen, time_point now, time_point deadline);
-
-/// Whether an endpoint can be chosen again after an attempt. It can if it refused the request only because
-/// the expected wait exceeded `max_wait`: its load report now states that wait.
-[[nodiscard]] bool remains_candidate(const target_call_result& refused, milliseconds max_wait);
+/// Determines why an endpoint has refused a request for which it could take `max_wait`.
+[[nodiscard]] refusal_cause cause_of_refusal(milliseconds expected_wait, milliseconds max_wait);
 
 /// Delay after which a refused caller should retry: about the time until a slot is free, randomised so that
 /// callers refused together do not return together.
--- a/src/pomeloloft/sidecar/choose.cpp
+++ b/src/pomeloloft/sidecar/choose.cpp
@@ -164,10 +164,7 @@
 {
     const candidate& c = *best.endpoint;
     const double wait = expected_wait_ms(c, request.now, options);
-    const double service = service_ms_of(*c.load, options);
-    const double longer_run = std::max(0.0, c.load->max_service_us / us_per_ms - service);
-    const double response = expected_response_ms(c, request, options) + longer_run;
-    chosen_endpoint out{&c, to_milliseconds(wait), to_milliseconds(response), std::nullopt};
+    chosen_endpoint out{&c, to_milliseconds(wait), std::nullopt};
     if (second.endpoint != nullptr) {
         const double refusal = network_ms_of(c, options);
         out.max_wait = to_milliseconds(wait + second.cost_ms - best.cost_ms + refusal);
@@ -245,7 +242,6 @@
     load.sent_since_report = 0;
     load.slots = std::max(report.slots, 1U);
     load.service_us = report.service_us;
-    load.max_service_us = report.max_service_us;
     load.link_ms = report.link_ms;
     load.failed_percent = report.failed_percent;
     load.rejected_percent = report.rejected_percent;
--- a/src/pomeloloft/sidecar/gate.cpp
+++ b/src/pomeloloft/sidecar/gate.cpp
@@ -146,8 +146,7 @@
             static_cast<std::uint32_t>(this->service_time.mean().count()),
             0,
             static_cast<std::uint32_t>(this->failure_ratio * percent),
-            static_cast<std::uint32_t>(this->rejection_ratio * percent),
-            static_cast<std::uint32_t>(this->service_time.upper_bound().count())};
+            static_cast<std::uint32_t>(this->rejection_ratio * percent)};
 }
 
 void target_gate::grant_slots()
@@ -263,7 +262,7 @@
         return std::nullopt;
     }
     out.outcome = attempt_outcome::refused;
-    out.wait = std::chrono::duration_cast<milliseconds>(expected_wait(current));
+    out.wait = std::chrono::ceil<milliseconds>(expected_wait(current));
     return out;
 }
 
@@ -277,7 +276,7 @@
     const slot_request requested_slot = request_of(call);
     const gate_snapshot current = this->snapshot(requested_slot);
     const admission_verdict verdict = admit_request(current, requested_slot, now);
-    out.wait = std::chrono::duration_cast<milliseconds>(expected_wait(current));
+    out.wait = std::chrono::ceil<milliseconds>(expected_wait(current));
     out.outcome = attempt_outcome::refused;
     if (verdict == admission_verdict::run) {
         ++this->running;
--- a/src/pomeloloft/sidecar/outbound_router.cpp
+++ b/src/pomeloloft/sidecar/outbound_router.cpp
@@ -119,11 +119,6 @@
     milliseconds min_wait{0};
 };
 
-void outbound_router::record_wait(request_context& context, milliseconds wait)
-{
-    context.min_wait = context.min_wait.count() == 0 ? wait : std::min(context.min_wait, wait);
-}
-
 outbound_router::outbound_router(sidecar_state& process_state, target_gate& local_gate, peer_links& links)
     : shared(process_state), gate(local_gate), peers(links)
 {
@@ -300,21 +295,15 @@
     const chosen_endpoint chosen =
         choose({found->second.candidates, context.tried, body_bytes, random_draw(), now, context.deadline},
                this->options);
-    if (chosen.endpoint == nullptr) {
-        return std::nullopt;
-    }
-    if (is_too_late(chosen, now, context.deadline)) {
-        record_wait(context, chosen.wait);
-        return std::nullopt;
-    }
-    return chosen;
+    return chosen.endpoint == nullptr ? std::nullopt : std::optional(chosen);
 }
 
 next_step outbound_router::handle_result(const net::request& sent, request_context& context,
                                          const std::string& node, target_call_result call_result)
 {
     const bool answered = call_result.outcome == attempt_outcome::answered;
-    record_wait(context, call_result.wait);
+    context.min_wait =
+        context.min_wait.count() == 0 ? call_result.wait : std::min(context.min_wait, call_result.wait);
     record_attempt(context.state, call_result.outcome, answered && is_server_error(call_result.response));
     this->update_crash_suspects(sent, call_result);
     if (is_endpoint_failure(call_result.outcome)) {
@@ -387,7 +376,10 @@
         call.caller = context.caller;
         call.max_wait = max_queue_wait(*chosen, now, context.deadline);
         target_call_result call_result = co_await this->send_to_endpoint(received, *chosen->endpoint, call);
-        if (!remains_candidate(call_result, call.max_wait)) {
+        context.state.refused_because = cause_of_refusal(call_result.wait, call.max_wait);
+        // An endpoint that is busier than others has reported its load and can be the best one again.
+        if (call_result.outcome != attempt_outcome::refused ||
+            context.state.refused_because != refusal_cause::slower_than_others) {
             context.tried.push_back(node);
         }
         step = this->handle_result(received, context, node, std::move(call_result));
--- a/src/pomeloloft/sidecar/peer_forwarding.cpp
+++ b/src/pomeloloft/sidecar/peer_forwarding.cpp
@@ -33,7 +33,7 @@
     return std::to_string(load.running) + ' ' + std::to_string(load.waiting) + ' ' +
            std::to_string(load.slots) + ' ' + std::to_string(load.service_us) + ' ' +
            std::to_string(load.link_ms) + ' ' + std::to_string(load.failed_percent) + ' ' +
-           std::to_string(load.rejected_percent) + ' ' + std::to_string(load.max_service_us);
+           std::to_string(load.rejected_percent);
 }
 
 std::optional<load_report> decode_load(std::string_view text)
@@ -42,12 +42,12 @@
     const char* at = text.data();
     const char* end = at + text.size();
     for (std::uint32_t* field : {&out.running, &out.waiting, &out.slots, &out.service_us, &out.link_ms,
-                                 &out.failed_percent, &out.rejected_percent, &out.max_service_us}) {
+                                 &out.failed_percent, &out.rejected_percent}) {
         while (at != end && *at == ' ') {
             ++at;
         }
-        if (at == end && (field == &out.rejected_percent || field == &out.max_service_us)) {
-            // Sidecars of earlier versions do not send the last fields.
+        if (at == end && field == &out.rejected_percent) {
+            // Sidecars of earlier versions do not send the rejected share.
             break;
         }
         const auto parsed = std::from_chars(at, end, *field);
--- a/src/pomeloloft/sidecar/retry_policy.cpp
+++ b/src/pomeloloft/sidecar/retry_policy.cpp
@@ -56,8 +56,12 @@
         return next_step::finish;
     case attempt_outcome::rejected:
         break;
-    case attempt_outcome::unavailable:
     case attempt_outcome::refused:
+        if (state.refused_because == refusal_cause::too_late) {
+            return next_step::finish;
+        }
+        [[fallthrough]];
+    case attempt_outcome::unavailable:
         return state.redirects < max_redirects ? next_step::redirect : next_step::finish;
     }
     return state.dispatches < state.max_dispatches ? next_step::retry : next_step::finish;
@@ -84,14 +88,12 @@
     return std::min(chosen.max_wait.value_or(left), left);
 }
 
-bool is_too_late(const chosen_endpoint& chosen, time_point now, time_point deadline)
+refusal_cause cause_of_refusal(milliseconds expected_wait, milliseconds max_wait)
 {
-    return chosen.response_time > remaining(deadline, now);
-}
-
-bool remains_candidate(const target_call_result& refused, milliseconds max_wait)
-{
-    return refused.outcome == attempt_outcome::refused && refused.wait > max_wait;
+    if (expected_wait > max_wait) {
+        return refusal_cause::slower_than_others;
+    }
+    return expected_wait.count() > 0 ? refusal_cause::too_late : refusal_cause::other;
 }
 
 milliseconds retry_after(milliseconds expected_wait, std::uint64_t random)
