Forget old estimates, and ask endpoints that were not heard of

Senders that had started anew knew two or three busy endpoints and kept to them (log lines of the trial: seven endpoints with a report age of hours, the chosen ones with 21 to 44 requests on nine slots). Besides, network and service times were kept for ever, so an endpoint that had once been slow was not measured again.

Now endpoints that were not heard of count as idle in the mean that is assumed of them, with the mean number of slots; estimates of service and network times move to the mean and to the shortest way as their report ages.

--- a/include/pomeloloft/sidecar/choose.hpp
+++ b/include/pomeloloft/sidecar/choose.hpp
@@ -56,12 +56,14 @@
     /// Transfer time of a KB of request body to another VM, by the bandwidth of this VM's link, in
     /// milliseconds.
     double transfer_ms_per_kb = 0.008;
-    /// Network time assumed for endpoints in the same and in other data centres that were not measured yet,
-    /// in milliseconds.
+    /// Network time assumed for endpoints in the same and in other data centres that were not measured
+    /// lately, in milliseconds.
     double default_local_network_ms = 0.0;
     double default_remote_network_ms = 0.0;
     /// Service time assumed while no endpoint has reported one, in milliseconds.
     double default_service_ms = 50.0;
+    /// Slots assumed of an endpoint that has not reported yet.
+    double default_slots = 1.0;
     /// Load per slot assumed of an endpoint in so far as its last load report has decayed.
     double default_load_per_slot = 0.0;
     /// Relative spread of the random factor on the cost, so that senders with the same load reports do not
--- a/src/pomeloloft/sidecar/choose.cpp
+++ b/src/pomeloloft/sidecar/choose.cpp
@@ -32,9 +32,19 @@
     return std::max(0.0, 1.0 - age / static_cast<double>(decay_time.count()));
 }
 
-double service_ms_of(const endpoint_load& load, const choice_options& options)
+/// An estimate that moves from the last report to what is assumed without one, as the report ages.
+double aged_estimate(double reported, double assumed, double current)
 {
-    return load.service_us > 0 ? load.service_us / us_per_ms : options.default_service_ms;
+    return reported * current + assumed * (1.0 - current);
+}
+
+double service_ms_of(const endpoint_load& load, time_point now, const choice_options& options)
+{
+    if (load.service_us == 0) {
+        return options.default_service_ms;
+    }
+    const double current = decay_factor(load, now, options.failure_decay_time);
+    return aged_estimate(load.service_us / us_per_ms, options.default_service_ms, current);
 }
 
 double fraction_of(std::uint32_t percent)
@@ -56,58 +66,77 @@
     return failed * left_ms + rejected / (1.0 - rejected) * options.default_service_ms;
 }
 
-double mean_service_ms(std::span<const candidate> candidates, const choice_options& options)
+/// Mean service time by the load reports, weighted by how recent they are.
+double mean_service_ms(std::span<const candidate> candidates, time_point now, const choice_options& options)
 {
     // An endpoint reports no service time before its first response. Assuming that it is fast until then
     // would send it too many requests.
     double total_us = 0;
+    double weight = 0;
+    for (const candidate& c : candidates) {
+        const double current =
+            c.load->service_us > 0 ? decay_factor(*c.load, now, options.failure_decay_time) : 0.0;
+        total_us += c.load->service_us * current;
+        weight += current;
+    }
+    return weight > 0 ? total_us / us_per_ms / weight : options.default_service_ms;
+}
+
+/// Slots of an endpoint; one that has not reported yet is assumed to have the mean of the others.
+double slots_of(const endpoint_load& load, const choice_options& options)
+{
+    return load.reported_at == time_point{} ? options.default_slots : std::max(load.slots, 1U);
+}
+
+double mean_slots(std::span<const candidate> candidates)
+{
+    double total = 0;
     std::size_t known = 0;
     for (const candidate& c : candidates) {
-        total_us += c.load->service_us;
-        known += c.load->service_us > 0 ? 1 : 0;
+        const bool has_reported = c.load->reported_at != time_point{};
+        total += has_reported ? std::max(c.load->slots, 1U) : 0;
+        known += has_reported ? 1 : 0;
     }
-    return known > 0 ? total_us / us_per_ms / static_cast<double>(known) : options.default_service_ms;
+    return known > 0 ? total / static_cast<double>(known) : 1.0;
 }
 
-/// Mean load per slot by the load reports, weighted by how recent they are. It decreases to zero with the
-/// last report: a sender that has heard of no endpoint lately must ask one to learn whether it is free.
+/// Mean load per slot of all endpoints, as far as recent load reports state it. Endpoints that were not heard
+/// of count as idle, so that a sender which knows only busy ones asks the others.
 double mean_load_per_slot(std::span<const candidate> candidates, time_point now,
                           const choice_options& options)
 {
     double load_per_slot = 0;
-    double weight = 0;
     for (const candidate& c : candidates) {
-        const double slots = std::max(c.load->slots, 1U);
-        const double current = decay_factor(*c.load, now, options.load_decay_time);
-        load_per_slot += c.load->reported_load / slots * current;
-        weight += current;
+        const double slots = slots_of(*c.load, options);
+        load_per_slot += c.load->reported_load / slots * decay_factor(*c.load, now, options.load_decay_time);
     }
-    return load_per_slot / std::max(weight, 1.0);
+    return candidates.empty() ? 0.0 : load_per_slot / static_cast<double>(candidates.size());
 }
 
-/// Mean network time to the endpoints of the same or of other data centres; zero when none is known.
-double mean_network_ms(std::span<const candidate> candidates, bool same_data_centre)
+/// Shortest network time to the endpoints of the same or of other data centres; zero when none is known.
+double min_network_ms(std::span<const candidate> candidates, bool same_data_centre)
 {
-    double total_us = 0;
-    std::size_t known = 0;
+    std::uint32_t min_us = 0;
     for (const candidate& c : candidates) {
         const bool counts = c.same_data_centre == same_data_centre && c.load->network_us > 0;
-        total_us += counts ? c.load->network_us : 0;
-        known += counts ? 1 : 0;
+        if (counts && (min_us == 0 || c.load->network_us < min_us)) {
+            min_us = c.load->network_us;
+        }
     }
-    return known > 0 ? total_us / us_per_ms / static_cast<double>(known) : 0.0;
+    return min_us / us_per_ms;
 }
 
 /// Time that a request and its response spend on the network, without the transfer of the request's body.
-double network_ms_of(const candidate& c, const choice_options& options)
+double network_ms_of(const candidate& c, time_point now, const choice_options& options)
 {
     if (c.is_own_target) {
         return 0.0;
     }
-    if (c.load->network_us > 0) {
-        return c.load->network_us / us_per_ms;
-    }
-    return c.same_data_centre ? options.default_local_network_ms : options.default_remote_network_ms;
+    // A delay of the past must not keep an endpoint from being measured again.
+    const double assumed =
+        c.same_data_centre ? options.default_local_network_ms : options.default_remote_network_ms;
+    const double current = c.load->network_us > 0 ? decay_factor(*c.load, now, options.load_decay_time) : 0.0;
+    return aged_estimate(c.load->network_us / us_per_ms, assumed, current);
 }
 
 /// Time to transfer the body of a request, and to wait for the link of the endpoint's VM.
@@ -124,9 +153,9 @@
 /// Expected wait for a slot, in milliseconds.
 double expected_wait_ms(const candidate& c, time_point now, const choice_options& options)
 {
-    const double slots = std::max(c.load->slots, 1U);
+    const double slots = slots_of(*c.load, options);
     const double excess = std::max(0.0, estimated_load(*c.load, now, options) + 1 - slots);
-    return excess * service_ms_of(*c.load, options) / slots;
+    return excess * service_ms_of(*c.load, now, options) / slots;
 }
 
 /// An endpoint and its cost, by which endpoints are compared.
@@ -166,7 +195,7 @@
     const double wait = expected_wait_ms(c, request.now, options);
     chosen_endpoint out{&c, to_milliseconds(wait), std::nullopt};
     if (second.endpoint != nullptr) {
-        const double refusal = network_ms_of(c, options);
+        const double refusal = network_ms_of(c, request.now, options);
         out.max_wait = to_milliseconds(wait + second.cost_ms - best.cost_ms + refusal);
     }
     return out;
@@ -177,33 +206,33 @@
 double estimated_load(const endpoint_load& load, time_point now, const choice_options& options)
 {
     const double current = decay_factor(load, now, options.load_decay_time);
-    const double assumed = options.default_load_per_slot * std::max(load.slots, 1U);
-    const double expected =
-        (load.reported_load + load.sent_since_report) * current + assumed * (1.0 - current);
-    return std::max<double>(load.in_flight, expected);
+    const double assumed = options.default_load_per_slot * slots_of(load, options);
+    const double reported = load.reported_load + load.sent_since_report;
+    return std::max<double>(load.in_flight, aged_estimate(reported, assumed, current));
 }
 
 double expected_response_ms(const candidate& c, const choice_request& request, const choice_options& options)
 {
-    return expected_wait_ms(c, request.now, options) + service_ms_of(*c.load, options) +
-           network_ms_of(c, options) + transfer_ms_of(c, request, options);
+    return expected_wait_ms(c, request.now, options) + service_ms_of(*c.load, request.now, options) +
+           network_ms_of(c, request.now, options) + transfer_ms_of(c, request, options);
 }
 
 double expected_cost_ms(const candidate& c, const choice_request& request, const choice_options& options)
 {
-    const double slots = std::max(c.load->slots, 1U);
+    const double slots = slots_of(*c.load, options);
     const double busy = std::min(1.0, estimated_load(*c.load, request.now, options) / slots);
-    const double delay_of_next = busy * service_ms_of(*c.load, options) / slots;
+    const double delay_of_next = busy * service_ms_of(*c.load, request.now, options) / slots;
     return expected_response_ms(c, request, options) + delay_of_next + lost_ms_of(*c.load, request, options);
 }
 
 chosen_endpoint choose(const choice_request& request, const choice_options& options)
 {
     choice_options with_means = options;
-    with_means.default_service_ms = mean_service_ms(request.candidates, options);
-    with_means.default_local_network_ms = mean_network_ms(request.candidates, true);
-    with_means.default_remote_network_ms = mean_network_ms(request.candidates, false);
-    with_means.default_load_per_slot = mean_load_per_slot(request.candidates, request.now, options);
+    with_means.default_service_ms = mean_service_ms(request.candidates, request.now, options);
+    with_means.default_local_network_ms = min_network_ms(request.candidates, true);
+    with_means.default_remote_network_ms = min_network_ms(request.candidates, false);
+    with_means.default_slots = mean_slots(request.candidates);
+    with_means.default_load_per_slot = mean_load_per_slot(request.candidates, request.now, with_means);
     bool in_backoff = false;
     ranked_endpoint best = best_of(request, with_means, in_backoff);
     if (best.endpoint == nullptr) {
