Round the accepted wait up, so that a gate whose queue is as expected accepts

With short service times a queue of 2.9 ms exceeded the 2 ms that the estimate of 2.9 ms had become, at every endpoint in turn, until the limit of 16 attempts.

--- a/src/pomeloloft/sidecar/choose.cpp
+++ b/src/pomeloloft/sidecar/choose.cpp
@@ -183,9 +183,10 @@
     return best;
 }
 
+/// Rounded up, so that a gate whose wait is as expected does not refuse for a fraction of a millisecond.
 milliseconds to_milliseconds(double ms)
 {
-    return milliseconds(static_cast<std::int64_t>(ms));
+    return milliseconds(static_cast<std::int64_t>(std::ceil(ms)));
 }
 
 chosen_endpoint describe_choice(const choice_request& request, const choice_options& options,
--- a/src/pomeloloft/sidecar/choose_test.cpp
+++ b/src/pomeloloft/sidecar/choose_test.cpp
@@ -5,7 +5,9 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include "pomeloloft/sidecar/admission.hpp"
 #include "pomeloloft/sidecar/choose.hpp"
+#include "pomeloloft/sidecar/retry_policy.hpp"
 #include "test/named_row.hpp"
 
 namespace pomeloloft::sidecar {
@@ -172,6 +174,27 @@
     BOOST_TEST((chosen.max_wait == milliseconds{20}));
 }
 
+// Guards against requests that were passed on until they were refused, because the accepted wait was rounded
+// below the wait that the endpoint had reported.
+BOOST_DATA_TEST_CASE(the_chosen_endpoint_accepts_the_request_if_its_load_is_as_reported,
+                     boost::unit_test::data::make({700, 1'500, 60'000}), service_us)
+{
+    constexpr std::uint32_t slots = 9;
+    for (std::uint32_t waiting = 0; waiting < 40; ++waiting) {
+        endpoint_load first = load_of(slots + waiting, static_cast<std::uint32_t>(service_us));
+        endpoint_load second = load_of(slots + waiting + 1, static_cast<std::uint32_t>(service_us));
+        const std::array<candidate, 2> both{candidate{"first", true, true, &first},
+                                            candidate{"second", true, true, &second}};
+        const time_point now = first.reported_at;
+        const chosen_endpoint chosen = choose({both, {}, 0, waiting, now}, {});
+        const std::uint32_t queued = chosen.endpoint->load->reported_load - slots;
+        const gate_snapshot gate{slots, slots, queued, microseconds{service_us}, microseconds{service_us}};
+        const time_point deadline = now + milliseconds(5000);
+        const slot_request request{0, deadline, max_queue_wait(chosen, now, deadline)};
+        BOOST_TEST((admit_request(gate, request, now) == admission_verdict::wait));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(an_endpoint_without_a_report_is_assumed_to_have_the_mean_load)
 {
     const choice_options options;
