--- a/include/pomeloloft/sidecar/choose.hpp
+++ b/include/pomeloloft/sidecar/choose.hpp
@@ -48,10 +48,12 @@
 
 /// Parameters of the cost estimate by which endpoints are compared.
 struct choice_options {
-    /// Time over which a reported load decays linearly to zero.
+    /// Time over which a reported load and a measured network time give way linearly to what is assumed
+    /// without them.
     milliseconds load_decay_time{1500};
-    /// Time over which reported failure and rejection shares decay linearly to zero. It is longer than for
-    /// the load, because every sender whose report has expired loses a request to a failing target.
+    /// Time over which reported failure and rejection shares decay linearly to zero, and reported service
+    /// times to the mean. It is longer than for the load, because every sender whose report has expired loses
+    /// a request to a failing or slow target.
     milliseconds failure_decay_time{5000};
     /// Transfer time of a KB of request body to another VM, by the bandwidth of this VM's link, in
     /// milliseconds.
