Treat a response without a length as cut when its request could not be written

Cause: the kernel reports a reset once, to the first call that meets it. Where that was the write of the request, its error was dropped, and the read behind it found the received bytes and then a normal end of the connection, which marks the end of a body without a length.

Change: an error of the write is kept, also when the response wakes the exchange first, and a response whose end only the connection marks then ends the exchange as lost. Responses with a length or chunks say themselves whether they are complete and are read as before.

The test suspends the sidecar so that it sees response and reset at the same time.

Ruled out: the end of the connection of a sidecar, which sends its answers with a length.

--- a/src/pomeloloft/net/broken_response_test.cpp
+++ b/src/pomeloloft/net/broken_response_test.cpp
@@ -32,11 +32,18 @@
         BOOST_REQUIRE(!accept_ec);
         std::array<char, 1024> received{};
         co_await stream.async_read_some(asio::buffer(received), use_task);
+        // Without a step of the event loop in between, so that the sender sees both at the same time.
         stream.socket().send(asio::buffer(this->bytes));
+        if (this->resets) {
+            stream.socket().set_option(asio::socket_base::linger(true, 0));
+            stream.close();
+        }
         co_await sleep_for(2 * exchange_timeout);
     }
 
     std::string bytes;
+    /// Resets the connection after the bytes.
+    bool resets = false;
     event_loop loop;
     tcp::acceptor acceptor;
 };
@@ -52,10 +59,17 @@
     to.loop.stop();
 }
 
-exchange_result call(raw_remote& to)
+request make_request(http::verb method, std::size_t body_bytes)
+{
+    request out{method, "/", 11};
+    out.set("X-Request-Id", "1");
+    out.body().assign(body_bytes, 'b');
+    out.prepare_payload();
+    return out;
+}
+
+exchange_result call(raw_remote& to, const request& sent)
 {
-    request sent{http::verb::get, "/", 11};
-    sent.set("X-Request-Id", "1");
     client_pool pool(to.loop, {});
     exchange_result out;
     out.end = exchange_end::cancelled;
@@ -85,6 +99,29 @@
     {"another major version", "HTTP/2.0 200 OK\r\n" + id_line + length_line},
 };
 
+const std::string ok_line = "HTTP/1.1 200 OK\r\n";
+
+/// A request whose response reaches the sender together with a reset of the connection.
+struct reset_row : testing::named_row {
+    std::size_t body_bytes;
+    std::string response;
+    exchange_end end;
+};
+
+const reset_row reset_rows[] = {
+    {"no length", 8U << 20U, ok_line + id_line + "\r\npart", exchange_end::lost},
+    {"no length, HTTP/1.0", 8U << 20U, "HTTP/1.0 200 OK\r\n" + id_line + "\r\npart", exchange_end::lost},
+    {"no length, no body yet", 8U << 20U, ok_line + id_line + "\r\n", exchange_end::lost},
+    {"no length, 500", 8U << 20U, "HTTP/1.1 500 Failed\r\n" + id_line + "\r\npart", exchange_end::lost},
+    {"incomplete by its length", 8U << 20U, ok_line + id_line + "Content-Length: 10\r\n\r\npart",
+     exchange_end::lost},
+    {"incomplete by its chunks", 8U << 20U,
+     ok_line + id_line + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", exchange_end::lost},
+    {"complete by its length", 8U << 20U, ok_line + id_line + length_line + "\r\npart",
+     exchange_end::answered},
+    {"no length, request without a body", 0, ok_line + id_line + "\r\npart", exchange_end::lost},
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(broken_responses)
@@ -94,12 +131,27 @@
 {
     raw_remote to(row.head + "\r\nbody");
     const time_point started = steady_clock::now();
-    const exchange_result ended = call(to);
+    const exchange_result ended = call(to, make_request(http::verb::get, 0));
     BOOST_TEST(name_of(exchange_end_names, ended.end) == "malformed");
     BOOST_TEST(!ended.reusable);
     BOOST_TEST((steady_clock::now() - started < max_exchange_time));
 }
 
+// Guards against a reset that only the write of the request reports, and whose connection then seems to end
+// normally.
+BOOST_DATA_TEST_CASE(a_response_that_a_reset_cuts_off_is_incomplete, boost::unit_test::data::make(reset_rows),
+                     row)
+{
+    constexpr int rounds = 20;
+    for (int round = 0; round < rounds; ++round) {
+        raw_remote to(row.response);
+        to.resets = true;
+        const exchange_result ended = call(to, make_request(http::verb::post, row.body_bytes));
+        BOOST_TEST(name_of(exchange_end_names, ended.end) == name_of(exchange_end_names, row.end));
+        BOOST_TEST(!ended.reusable);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace pomeloloft::net
--- a/src/pomeloloft/net/client.cpp
+++ b/src/pomeloloft/net/client.cpp
@@ -44,16 +44,21 @@
 
 using request_writer = http::request_serializer<http::string_body>;
 
+task<void> write_rest(connection& conn, request_writer& writer, error_code& ended)
+{
+    const auto [ec, written_bytes] = co_await http::async_write(conn.stream, writer, use_task);
+    ended = ec;
+}
+
 /// Writes the rest of a request, and stops when the remote responds first.
-/// @return whether everything was written.
-task<bool> write_until_response(connection& conn, request_writer& writer)
+/// @return `operation_aborted` if it stopped. An error of the write is returned also if the remote has
+/// responded at the same time.
+task<error_code> write_until_response(connection& conn, request_writer& writer)
 {
-    auto finished = co_await (http::async_write(conn.stream, writer, use_task) ||
-                              conn.stream.socket().async_wait(tcp::socket::wait_read, use_task));
-    if (finished.index() == 1) {
-        co_return false;
-    }
-    co_return !std::get<0>(std::get<0>(finished));
+    error_code ended = asio::error::operation_aborted;
+    co_await (write_rest(conn, writer, ended) ||
+              conn.stream.socket().async_wait(tcp::socket::wait_read, use_task));
+    co_return ended;
 }
 
 /// The remote's idle timeout from the header `Keep-Alive: timeout=SECONDS`.
@@ -79,6 +84,8 @@
     net::response response;
     bool started = false;
     bool keep_alive = false;
+    /// Whether the end of the connection marked that of the body.
+    bool ends_with_connection = false;
 };
 
 /// Receives the head of a response into the connection's buffer and checks it.
@@ -128,6 +135,7 @@
         co_return out;
     }
     out.keep_alive = parser.keep_alive();
+    out.ends_with_connection = parser.need_eof();
     out.response = parser.release();
     co_return out;
 }
@@ -289,11 +297,21 @@
     /// The request was written completely, or the remote refused its body.
     bool complete = false;
     bool timed_out = false;
+    /// The connection failed. The system reports this once, so that reading may then find a normal end of the
+    /// connection behind the bytes that were received.
+    bool failed = false;
     bool body_withheld = false;
     /// The response of a remote that refused the body.
     std::optional<response_read_result> refusal;
 };
 
+void record_write_end(write_result& out, const error_code& ec)
+{
+    out.complete = !ec;
+    out.timed_out = ec == beast::error::timeout;
+    out.failed = ec && ec != asio::error::operation_aborted;
+}
+
 /// Writes the header, and then the body if the remote sends `100 Continue`.
 task<write_result> write_after_continue(connection& conn, const request& outgoing,
                                         const exchange_options& options, request_writer& writer)
@@ -303,7 +321,7 @@
     conn.stream.expires_at(std::min(options.deadline, options.continue_deadline));
     const auto [ec, written_bytes] = co_await http::async_write_header(conn.stream, writer, use_task);
     if (ec) {
-        out.timed_out = ec == beast::error::timeout;
+        record_write_end(out, ec);
         co_return out;
     }
     response_read_result first = co_await read_one_response(conn, outgoing, options);
@@ -316,7 +334,8 @@
     }
     out.body_withheld = false;
     conn.stream.expires_at(options.deadline);
-    out.complete = co_await write_until_response(conn, writer);
+    const error_code body_ec = co_await write_until_response(conn, writer);
+    record_write_end(out, body_ec);
     co_return out;
 }
 
@@ -329,12 +348,12 @@
             out = co_await write_after_continue(conn, outgoing, options, writer);
             co_return out;
         }
-        out.complete = co_await write_until_response(conn, writer);
+        const error_code body_ec = co_await write_until_response(conn, writer);
+        record_write_end(out, body_ec);
         co_return out;
     }
     const auto [ec, written_bytes] = co_await http::async_write(conn.stream, writer, use_task);
-    out.complete = !ec;
-    out.timed_out = ec == beast::error::timeout;
+    record_write_end(out, ec);
     co_return out;
 }
 
@@ -366,6 +385,10 @@
         if (read.end != exchange_end::answered) {
             co_return out;
         }
+        if (written.failed && read.ends_with_connection) {
+            out.end = exchange_end::lost;
+            co_return out;
+        }
         if (!is_response_to(read.response, outgoing, options.id_header)) {
             out.end = exchange_end::malformed;
             continue;
--- a/test/integration/broken_responses_test.cpp
+++ b/test/integration/broken_responses_test.cpp
@@ -34,6 +34,15 @@
     {"status 999", "HTTP/1.1 999 None\r\n" + fields + length + "\r\nbody"},
 };
 
+const response_row cut_rows[] = {
+    {"200 without a length", ok_line + fields + "\r\npart"},
+    {"500 without a length", "HTTP/1.1 500 Failed\r\n" + fields + "\r\npart"},
+    {"200 with a length", ok_line + fields + "Content-Length: 50\r\n\r\npart"},
+};
+
+/// More than the buffers of a connection hold, so that the target responds while the body is being written.
+constexpr std::size_t upload_bytes = 8U << 20U;
+
 caller_request write_request(const std::string& id, std::size_t body_bytes)
 {
     caller_request out;
@@ -122,6 +131,38 @@
     }
 }
 
+// Guards against a reset that only the write of the request reports.
+BOOST_DATA_TEST_CASE(a_response_that_a_reset_cuts_off_during_an_upload_is_no_answer,
+                     boost::unit_test::data::make(cut_rows), row)
+{
+    sidecar_fleet fleet({"register", "gallery"});
+    platform_target& target = *fleet.nodes[0].target;
+    const child_process& reader = *fleet.nodes[0].process;
+    // The sidecar of the target sees the response and the reset at the same time.
+    const std::chrono::milliseconds stop_time{5};
+    target.before_reset = [&] {
+        reader.signal(SIGSTOP);
+        std::this_thread::sleep_for(stop_time);
+    };
+    target.after_reset = [&] {
+        std::this_thread::sleep_for(stop_time);
+        reader.signal(SIGCONT);
+    };
+    target.mode = target_mode::resets_after_raw_response;
+    target.raw_response = row.bytes;
+    for (std::size_t entry = 0; entry < 2; ++entry) {
+        for (int round = 0; round < 5; ++round) {
+            const std::string id = std::to_string(entry) + "-" + std::to_string(round);
+            const caller_response write = fleet.call(entry, write_request(id, upload_bytes));
+            BOOST_TEST(write.status == 502);
+            BOOST_TEST(write.body == "");
+            BOOST_TEST(target.run_count(id) == 1);
+            // After a broken exchange the sidecar does not use the target for a short time.
+            fleet.run_for(milliseconds(350));
+        }
+    }
+}
+
 BOOST_DATA_TEST_CASE(a_broken_response_is_a_failure_of_the_target_of_a_proxy,
                      boost::unit_test::data::make(broken_rows), row)
 {
