Reject heads of responses with invalid field lines

Seen in our tests before: `pomeloloft proxy` answered 200 on each of the six rows tried, the line passed on; at the sidecar a line that begins with a blank became a part of the value before it (200 with "signed X-Name: value" as its signature), and where that line was the length, callers waited until their deadline for the end of the body.

Cause: POCO takes any bytes up to the colon for a name and drops lines without one. Beast checks names and values, but both libraries accept obsolete line folding, which RFC 9112 (section 5.2) lets a gateway answer with 502.

Change: `scan_response_head` also checks each line: a token as the name, no folding, no control bytes in values and in the reason phrase. One check for both fronts.

--- a/include/pomeloloft/http/response_scan.hpp
+++ b/include/pomeloloft/http/response_scan.hpp
@@ -9,18 +9,27 @@
 
 namespace pomeloloft {
 
-/// A violation of the syntax of a response's head (RFC 9110, section 15; RFC 9112, section 4).
+/// A violation of the syntax of a response's head (RFC 9110, sections 5 and 15; RFC 9112, sections 4 and 5).
 enum class head_defect : std::uint8_t {
     /// The first line is not a status line of HTTP/1.
     status_line,
     /// The status code is outside 100 to 599.
     status_code,
+    /// A line begins with a blank. Only obsolete line folding allows it, which senders must not generate.
+    folded_line,
+    /// A line has no colon, or the name before it is not a token.
+    field_name,
+    /// A control byte other than a tab in a field value or in the reason phrase.
+    control_byte,
 };
 
 /// Names of `head_defect` in logs and errors.
-inline constexpr name_table<head_defect, 2> head_defect_names{{
+inline constexpr name_table<head_defect, 5> head_defect_names{{
     {head_defect::status_line, "invalid status line"},
     {head_defect::status_code, "invalid status code"},
+    {head_defect::folded_line, "folded line"},
+    {head_defect::field_name, "invalid field name"},
+    {head_defect::control_byte, "control byte"},
 }};
 
 /// The head of a response as far as it has been received.
--- a/src/pomeloloft/http/broken_response_test.cpp
+++ b/src/pomeloloft/http/broken_response_test.cpp
@@ -22,6 +22,7 @@
     std::string head;
 };
 
+const std::string ok_line = "HTTP/1.1 200 OK\r\n";
 const std::string length_line = "Content-Length: 4\r\n";
 const std::string sent_body = "body";
 
@@ -38,6 +39,27 @@
     {"after an interim response", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 None\r\n" + length_line},
 };
 
+const head_row field_rows[] = {
+    {"blank within a name", ok_line + "X Name: value\r\n" + length_line},
+    {"blank at the end of a name", ok_line + "X-Name : value\r\n" + length_line},
+    {"blank at the start of a name", ok_line + "X-First: 1\r\n X-Name: value\r\n" + length_line},
+    {"tab at the start of a name", ok_line + "X-First: 1\r\n\tX-Name: value\r\n" + length_line},
+    {"blank at the start of the first name", ok_line + " X-Name: value\r\n" + length_line},
+    {"blank before the length", ok_line + "X-First: 1\r\n Content-Length: 4\r\n"},
+    {"blank after the length", ok_line + "Content-Length : 4\r\n"},
+    {"control byte in a name", ok_line + "X-\x01Name: value\r\n" + length_line},
+    {"DEL in a name", ok_line + "X-Name\x7f: value\r\n" + length_line},
+    {"NUL in a name", ok_line + std::string("X\0Name: value\r\n", 15) + length_line},
+    {"carriage return in a name", ok_line + "X\rName: value\r\n" + length_line},
+    {"empty name", ok_line + ": value\r\n" + length_line},
+    {"no colon", ok_line + "X-Name value\r\n" + length_line},
+    {"control byte in a value", ok_line + "X-Name: va\x01lue\r\n" + length_line},
+    {"NUL in a value", ok_line + std::string("X-Name: va\0lue\r\n", 16) + length_line},
+    {"carriage return in a value", ok_line + "X-Name: va\rlue\r\n" + length_line},
+    {"after an interim response",
+     "HTTP/1.1 100 Continue\r\n\r\n" + ok_line + "X Name: value\r\n" + length_line},
+};
+
 constexpr milliseconds response_timeout{3000};
 /// A response that is known to be broken is reported well before its deadline.
 constexpr milliseconds max_response_time{1000};
@@ -117,6 +139,15 @@
     BOOST_TEST((steady_clock::now() - started < max_response_time));
 }
 
+BOOST_DATA_TEST_CASE(a_head_with_an_invalid_field_line_is_no_response,
+                     boost::unit_test::data::make(field_rows), row)
+{
+    const raw_remote remote(row.head + "\r\n" + sent_body);
+    const time_point started = steady_clock::now();
+    BOOST_TEST(!call(remote));
+    BOOST_TEST((steady_clock::now() - started < max_response_time));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace pomeloloft
--- a/src/pomeloloft/http/response_scan.cpp
+++ b/src/pomeloloft/http/response_scan.cpp
@@ -48,6 +48,47 @@
     }
 }
 
+bool is_token_char(char c)
+{
+    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    return is_digit(c) || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+           marks.find(c) != std::string_view::npos;
+}
+
+bool is_control(char c)
+{
+    constexpr unsigned char first_printable = 0x20;
+    constexpr unsigned char del = 0x7f;
+    const auto byte = static_cast<unsigned char>(c);
+    return (byte < first_printable && c != '\t') || byte == del;
+}
+
+bool has_control(std::string_view text)
+{
+    return std::any_of(text.begin(), text.end(), is_control);
+}
+
+std::optional<head_defect> find_field_defect(std::string_view line)
+{
+    if (line.front() == ' ' || line.front() == '\t') {
+        return head_defect::folded_line;
+    }
+    const std::size_t colon = line.find(':');
+    const std::string_view name = line.substr(0, colon);
+    if (colon == std::string_view::npos || name.empty() ||
+        !std::all_of(name.begin(), name.end(), is_token_char)) {
+        return head_defect::field_name;
+    }
+    return has_control(line.substr(colon + 1)) ? std::optional(head_defect::control_byte) : std::nullopt;
+}
+
+std::optional<head_defect> find_reason_defect(std::string_view status_line)
+{
+    return has_control(status_line.substr(status_line_pattern.size()))
+               ? std::optional(head_defect::control_byte)
+               : std::nullopt;
+}
+
 /// The bytes up to a line feed without the line's end.
 std::string_view without_line_end(std::string_view line)
 {
@@ -66,10 +107,12 @@
         if (end == std::string_view::npos) {
             break;
         }
-        if (without_line_end(received.substr(begin, end - begin)).empty()) {
+        const std::string_view line = without_line_end(received.substr(begin, end - begin));
+        if (line.empty()) {
             out.size = end + 1;
             break;
         }
+        out.defect = begin == 0 ? find_reason_defect(line) : find_field_defect(line);
         begin = end + 1;
     }
     return out;
--- a/src/pomeloloft/http/response_scan_test.cpp
+++ b/src/pomeloloft/http/response_scan_test.cpp
@@ -44,6 +44,41 @@
     {"a request", "GET / HTTP/1.1\r\n\r\n", head_defect::status_line, false, 0},
 };
 
+const std::string ok_line = "HTTP/1.1 200 OK\r\n";
+
+const scan_row field_line_rows[] = {
+    {"a field", ok_line + "X-Name: value\r\n\r\n", std::nullopt, true, 200},
+    {"no blank before the value", ok_line + "X-Name:value\r\n\r\n", std::nullopt, true, 200},
+    {"an empty value", ok_line + "X-Name:\r\n\r\n", std::nullopt, true, 200},
+    {"each mark of a token", ok_line + "!#$%&'*+-.^_`|~09azAZ: value\r\n\r\n", std::nullopt, true, 200},
+    {"a colon in a value", ok_line + "X-Name: a:b\r\n\r\n", std::nullopt, true, 200},
+    {"a tab and bytes beyond ASCII in a value", ok_line + "X-Name: a\tb\xc3\xa9\r\n\r\n", std::nullopt, true,
+     200},
+    {"line feeds alone", "HTTP/1.1 200 OK\nX-Name: value\n\n", std::nullopt, true, 200},
+    {"an incomplete line", ok_line + "X Na", std::nullopt, false, 200},
+    {"blank within a name", ok_line + "X Name: value\r\n", head_defect::field_name, false, 200},
+    {"blank at the end of a name", ok_line + "X-Name : value\r\n", head_defect::field_name, false, 200},
+    {"tab at the end of a name", ok_line + "X-Name\t: value\r\n", head_defect::field_name, false, 200},
+    {"control byte in a name", ok_line + "X-\x1fName: value\r\n", head_defect::field_name, false, 200},
+    {"DEL in a name", ok_line + "X-Name\x7f: value\r\n", head_defect::field_name, false, 200},
+    {"NUL in a name", ok_line + std::string("X\0N: value\r\n", 12), head_defect::field_name, false, 200},
+    {"byte beyond ASCII in a name", ok_line + "X-N\xe9: value\r\n", head_defect::field_name, false, 200},
+    {"separator in a name", ok_line + "X(Name): value\r\n", head_defect::field_name, false, 200},
+    {"empty name", ok_line + ": value\r\n", head_defect::field_name, false, 200},
+    {"no colon", ok_line + "X-Name\r\n", head_defect::field_name, false, 200},
+    {"blank at the start of a line", ok_line + "X-Name: a\r\n b: c\r\n", head_defect::folded_line, false,
+     200},
+    {"tab at the start of a line", ok_line + "X-Name: a\r\n\tb\r\n", head_defect::folded_line, false, 200},
+    {"blank at the start of the first line", ok_line + " X-Name: a\r\n", head_defect::folded_line, false,
+     200},
+    {"a line of blanks", ok_line + "X-Name: a\r\n  \r\n", head_defect::folded_line, false, 200},
+    {"control byte in a value", ok_line + "X-Name: a\x01\r\n", head_defect::control_byte, false, 200},
+    {"DEL in a value", ok_line + "X-Name: a\x7f\r\n", head_defect::control_byte, false, 200},
+    {"NUL in a value", ok_line + std::string("X: a\0b\r\n", 8), head_defect::control_byte, false, 200},
+    {"carriage return in a value", ok_line + "X-Name: a\rb\r\n", head_defect::control_byte, false, 200},
+    {"control byte in the reason", "HTTP/1.1 200 O\x01K\r\n", head_defect::control_byte, false, 200},
+};
+
 void check_scan(const scan_row& row)
 {
     const head_scan scanned = scan_response_head(row.received);
@@ -65,6 +100,12 @@
     check_scan(row);
 }
 
+BOOST_DATA_TEST_CASE(a_field_line_has_a_token_as_its_name_and_no_control_bytes,
+                     boost::unit_test::data::make(field_line_rows), row)
+{
+    check_scan(row);
+}
+
 BOOST_AUTO_TEST_CASE(a_head_ends_before_its_body)
 {
     const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n";
--- a/src/pomeloloft/net/broken_response_test.cpp
+++ b/src/pomeloloft/net/broken_response_test.cpp
@@ -101,6 +101,25 @@
 
 const std::string ok_line = "HTTP/1.1 200 OK\r\n";
 
+const head_row field_rows[] = {
+    {"blank within a name", ok_line + id_line + "X Name: value\r\n" + length_line},
+    {"blank at the end of a name", ok_line + id_line + "X-Name : value\r\n" + length_line},
+    {"blank at the start of a name", ok_line + id_line + " X-Name: value\r\n" + length_line},
+    {"tab at the start of a name", ok_line + id_line + "\tX-Name: value\r\n" + length_line},
+    {"blank at the start of the first name", ok_line + " X-Name: value\r\n" + id_line + length_line},
+    {"blank before the length", ok_line + id_line + " Content-Length: 4\r\n"},
+    {"blank after the length", ok_line + id_line + "Content-Length : 4\r\n"},
+    {"control byte in a name", ok_line + id_line + "X-\x01Name: value\r\n" + length_line},
+    {"DEL in a name", ok_line + id_line + "X-Name\x7f: value\r\n" + length_line},
+    {"NUL in a name", ok_line + id_line + std::string("X\0Name: value\r\n", 15) + length_line},
+    {"carriage return in a name", ok_line + id_line + "X\rName: value\r\n" + length_line},
+    {"empty name", ok_line + id_line + ": value\r\n" + length_line},
+    {"no colon", ok_line + id_line + "X-Name value\r\n" + length_line},
+    {"control byte in a value", ok_line + id_line + "X-Name: va\x01lue\r\n" + length_line},
+    {"NUL in a value", ok_line + id_line + std::string("X-Name: va\0lue\r\n", 16) + length_line},
+    {"carriage return in a value", ok_line + id_line + "X-Name: va\rlue\r\n" + length_line},
+};
+
 /// A request whose response reaches the sender together with a reset of the connection.
 struct reset_row : testing::named_row {
     std::size_t body_bytes;
@@ -137,6 +156,17 @@
     BOOST_TEST((steady_clock::now() - started < max_exchange_time));
 }
 
+BOOST_DATA_TEST_CASE(a_head_with_an_invalid_field_line_is_no_response,
+                     boost::unit_test::data::make(field_rows), row)
+{
+    raw_remote to(row.head + "\r\nbody");
+    const time_point started = steady_clock::now();
+    const exchange_result ended = call(to, make_request(http::verb::get, 0));
+    BOOST_TEST(name_of(exchange_end_names, ended.end) == "malformed");
+    BOOST_TEST(!ended.reusable);
+    BOOST_TEST((steady_clock::now() - started < max_exchange_time));
+}
+
 // Guards against a reset that only the write of the request reports, and whose connection then seems to end
 // normally.
 BOOST_DATA_TEST_CASE(a_response_that_a_reset_cuts_off_is_incomplete, boost::unit_test::data::make(reset_rows),
--- a/test/integration/broken_responses_test.cpp
+++ b/test/integration/broken_responses_test.cpp
@@ -32,6 +32,12 @@
     {"status 000", "HTTP/1.1 000 None\r\n" + fields + length + "\r\nbody"},
     {"status 099", "HTTP/1.1 099 None\r\n" + fields + length + "\r\nbody"},
     {"status 999", "HTTP/1.1 999 None\r\n" + fields + length + "\r\nbody"},
+    {"blank within a field name", ok_line + fields + "X Name: value\r\n" + length + "\r\nbody"},
+    {"blank at the start of a field name", ok_line + fields + " X-Name: value\r\n" + length + "\r\nbody"},
+    {"blank before the length", ok_line + fields + " Content-Length: 4\r\n\r\nbody"},
+    {"blank after the length", ok_line + fields + "Content-Length : 4\r\n\r\nbody"},
+    {"control byte in a field name", ok_line + fields + "X-\x01Name: value\r\n" + length + "\r\nbody"},
+    {"control byte in a field value", ok_line + fields + "X-Name: va\x01lue\r\n" + length + "\r\nbody"},
 };
 
 const response_row cut_rows[] = {
