Skip all interim responses at `pomeloloft proxy`

Cause: POCO skips `100 Continue` only and returns any other interim response (1xx) as the final one.

Change: heads are read until the first that is not interim. Their bytes count toward the limit on the head, so a target that sends them without end is still cut off (`unit` endless_responses_of_blocking_connections).

Failed before: `unit` the_final_response_follows_interim_ones 2 of 4 rows, `broken_responses_test` 1 of 2 rows.

--- a/src/pomeloloft/http/broken_response_test.cpp
+++ b/src/pomeloloft/http/broken_response_test.cpp
@@ -60,6 +60,15 @@
      "HTTP/1.1 100 Continue\r\n\r\n" + ok_line + "X Name: value\r\n" + length_line},
 };
 
+/// Interim responses before the final one.
+const head_row interim_rows[] = {
+    {"none", ""},
+    {"100 Continue", "HTTP/1.1 100 Continue\r\n\r\n"},
+    {"103 Early Hints", "HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n"},
+    {"several", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n"
+                "HTTP/1.1 103 Early Hints\r\n\r\n"},
+};
+
 constexpr milliseconds response_timeout{3000};
 /// A response that is known to be broken is reported well before its deadline.
 constexpr milliseconds max_response_time{1000};
@@ -148,6 +157,15 @@
     BOOST_TEST((steady_clock::now() - started < max_response_time));
 }
 
+BOOST_DATA_TEST_CASE(the_final_response_follows_interim_ones, boost::unit_test::data::make(interim_rows), row)
+{
+    const raw_remote remote(row.head + ok_line + length_line + "\r\n" + sent_body);
+    const auto received = call(remote);
+    BOOST_REQUIRE(received);
+    BOOST_TEST(received->status == 200);
+    BOOST_TEST(received->body == sent_body);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace pomeloloft
--- a/src/pomeloloft/http/connection_pool.cpp
+++ b/src/pomeloloft/http/connection_pool.cpp
@@ -115,9 +115,13 @@
     this->limits->head_bytes_left = max_head_bytes;
     this->limits->head.clear();
     this->limits->reading_head = true;
-    std::istream& body = this->receiveResponse(response);
+    std::istream* body = &this->receiveResponse(response);
+    while (is_interim_status(response.getStatus())) {
+        // POCO itself skips `100 Continue` only.
+        body = &this->receiveResponse(response);
+    }
     this->limits->reading_head = false;
-    return body;
+    return *body;
 }
 
 bool client_connection::is_reusable()
--- a/test/integration/broken_responses_test.cpp
+++ b/test/integration/broken_responses_test.cpp
@@ -46,6 +46,12 @@
     {"200 with a length", ok_line + fields + "Content-Length: 50\r\n\r\npart"},
 };
 
+/// Interim responses that precede the final one.
+const response_row interim_rows[] = {
+    {"100 Continue", "HTTP/1.1 100 Continue\r\n\r\n"},
+    {"103 Early Hints", "HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n"},
+};
+
 /// More than the buffers of a connection hold, so that the target responds while the body is being written.
 constexpr std::size_t upload_bytes = 8U << 20U;
 
@@ -112,6 +118,20 @@
     std::thread thread;
 };
 
+/// A `pomeloloft proxy` beside a target that sends given bytes.
+struct proxy_with_target {
+    explicit proxy_with_target(std::string bytes) : target(std::move(bytes))
+    {
+        BOOST_REQUIRE(this->f.bring_up(this->entry, example_path("savinja/pattern-shop.yaml")));
+        BOOST_REQUIRE(this->target.announce(this->entry.at.local));
+        BOOST_REQUIRE(this->f.wait_for_endpoints(this->entry, 1, startup_timeout));
+    }
+
+    fleet f;
+    node& entry = this->f.add({"entry", "celje-1", "", {}, {}, false});
+    raw_target target;
+};
+
 } // namespace
 
 BOOST_DATA_TEST_CASE(a_broken_response_is_a_failure_of_the_target, boost::unit_test::data::make(broken_rows),
@@ -172,16 +192,21 @@
 BOOST_DATA_TEST_CASE(a_broken_response_is_a_failure_of_the_target_of_a_proxy,
                      boost::unit_test::data::make(broken_rows), row)
 {
-    fleet f;
-    node& entry = f.add({"entry", "celje-1", "", {}, {}, false});
-    raw_target target(row.bytes);
-    BOOST_REQUIRE(f.bring_up(entry, example_path("savinja/pattern-shop.yaml")));
-    BOOST_REQUIRE(target.announce(entry.at.local));
-    BOOST_REQUIRE(f.wait_for_endpoints(entry, 1, startup_timeout));
-    const client_response read = call(entry.at.callers, {"GET", "/records/1"});
+    proxy_with_target s(row.bytes);
+    const client_response read = call(s.entry.at.callers, {"GET", "/records/1"});
     BOOST_TEST(read.status == 502);
     BOOST_TEST(read.outcome() == "unknown");
     BOOST_TEST(read.body.find("signed") == std::string::npos);
 }
 
+BOOST_DATA_TEST_CASE(the_final_response_of_a_target_of_a_proxy_follows_interim_ones,
+                     boost::unit_test::data::make(interim_rows), row)
+{
+    proxy_with_target s(row.bytes + ok_line + length + "\r\nbody");
+    const client_response read = call(s.entry.at.callers, {"GET", "/records/1"});
+    BOOST_TEST(read.status == 200);
+    BOOST_TEST(read.body == "body");
+    BOOST_TEST(read.complete);
+}
+
 } // namespace pomeloloft::testing
