Reject heads of responses that do not tell where the body ends

`pomeloloft proxy` also took the first of two lengths.

Change: `scan_response_head` accepts one `Content-Length` of digits or one `Transfer-Encoding: chunked`, not both (RFC 9112, section 6).

--- a/include/pomeloloft/http/response_scan.hpp
+++ b/include/pomeloloft/http/response_scan.hpp
@@ -9,7 +9,7 @@
 
 namespace pomeloloft {
 
-/// A violation of the syntax of a response's head (RFC 9110, sections 5 and 15; RFC 9112, sections 4 and 5).
+/// A violation of the syntax of a response's head (RFC 9110, sections 5 and 15; RFC 9112, sections 4 to 6).
 enum class head_defect : std::uint8_t {
     /// The first line is not a status line of HTTP/1.
     status_line,
@@ -21,15 +21,22 @@
     field_name,
     /// A control byte other than a tab in a field value or in the reason phrase.
     control_byte,
+    /// `Content-Length` is not a number, or stands beside another one or beside `Transfer-Encoding`.
+    content_length,
+    /// `Transfer-Encoding` other than `chunked`. Fields that concern one connection are not passed on, so a
+    /// body with a further coding would lose the field that names it.
+    transfer_encoding,
 };
 
 /// Names of `head_defect` in logs and errors.
-inline constexpr name_table<head_defect, 5> head_defect_names{{
+inline constexpr name_table<head_defect, 7> head_defect_names{{
     {head_defect::status_line, "invalid status line"},
     {head_defect::status_code, "invalid status code"},
     {head_defect::folded_line, "folded line"},
     {head_defect::field_name, "invalid field name"},
     {head_defect::control_byte, "control byte"},
+    {head_defect::content_length, "invalid content length"},
+    {head_defect::transfer_encoding, "unsupported transfer encoding"},
 }};
 
 /// The head of a response as far as it has been received.
--- a/src/pomeloloft/http/broken_response_test.cpp
+++ b/src/pomeloloft/http/broken_response_test.cpp
@@ -60,6 +60,23 @@
      "HTTP/1.1 100 Continue\r\n\r\n" + ok_line + "X Name: value\r\n" + length_line},
 };
 
+const head_row framing_rows[] = {
+    {"two transfer codings", ok_line + "Transfer-Encoding: gzip, chunked\r\n"},
+    {"another transfer coding", ok_line + "Transfer-Encoding: gzip\r\n"},
+    {"two fields with a transfer coding",
+     ok_line + "Transfer-Encoding: chunked\r\ntransfer-encoding: gzip\r\n"},
+    {"no transfer coding", ok_line + "Transfer-Encoding:\r\n"},
+    {"a length before a transfer coding", ok_line + length_line + "Transfer-Encoding: chunked\r\n"},
+    {"a length behind a transfer coding", ok_line + "Transfer-Encoding: chunked\r\n" + length_line},
+    {"two lengths", ok_line + length_line + "content-length: 5\r\n"},
+    {"two lengths in one field", ok_line + "Content-Length: 4, 5\r\n"},
+    {"a sign before the length", ok_line + "Content-Length: +4\r\n"},
+    {"a negative length", ok_line + "Content-Length: -4\r\n"},
+    {"an empty length", ok_line + "Content-Length: \r\n"},
+    {"letters in the length", ok_line + "Content-Length: 4x\r\n"},
+    {"a length beyond 64 bits", ok_line + "Content-Length: 18446744073709551620\r\n"},
+};
+
 /// Interim responses before the final one.
 const head_row interim_rows[] = {
     {"none", ""},
@@ -157,6 +174,15 @@
     BOOST_TEST((steady_clock::now() - started < max_response_time));
 }
 
+BOOST_DATA_TEST_CASE(a_head_that_does_not_tell_the_end_of_its_body_is_no_response,
+                     boost::unit_test::data::make(framing_rows), row)
+{
+    const raw_remote remote(row.head + "\r\n" + sent_body);
+    const time_point started = steady_clock::now();
+    BOOST_TEST(!call(remote));
+    BOOST_TEST((steady_clock::now() - started < max_response_time));
+}
+
 BOOST_DATA_TEST_CASE(the_final_response_follows_interim_ones, boost::unit_test::data::make(interim_rows), row)
 {
     const raw_remote remote(row.head + ok_line + length_line + "\r\n" + sent_body);
--- a/src/pomeloloft/http/response_scan.cpp
+++ b/src/pomeloloft/http/response_scan.cpp
@@ -68,7 +68,57 @@
     return std::any_of(text.begin(), text.end(), is_control);
 }
 
-std::optional<head_defect> find_field_defect(std::string_view line)
+char to_lower(char c)
+{
+    return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+}
+
+/// @param lower text in lower case.
+bool equals_ignoring_case(std::string_view text, std::string_view lower)
+{
+    return std::equal(text.begin(), text.end(), lower.begin(), lower.end(),
+                      [](char a, char b) { return to_lower(a) == b; });
+}
+
+std::string_view trimmed(std::string_view text)
+{
+    constexpr std::string_view blanks = " \t";
+    const std::size_t begin = text.find_first_not_of(blanks);
+    if (begin == std::string_view::npos) {
+        return {};
+    }
+    return text.substr(begin, text.find_last_not_of(blanks) - begin + 1);
+}
+
+/// The fields read so far that determine where the body ends.
+struct body_framing {
+    bool has_length = false;
+    bool chunked = false;
+};
+
+/// @param value without blanks around it.
+std::optional<head_defect> find_framing_defect(std::string_view name, std::string_view value,
+                                               body_framing& framing)
+{
+    if (equals_ignoring_case(name, "content-length")) {
+        const bool is_number = !value.empty() && std::all_of(value.begin(), value.end(), is_digit);
+        if (!is_number || framing.has_length || framing.chunked) {
+            return head_defect::content_length;
+        }
+        framing.has_length = true;
+    } else if (equals_ignoring_case(name, "transfer-encoding")) {
+        if (!equals_ignoring_case(value, "chunked") || framing.chunked) {
+            return head_defect::transfer_encoding;
+        }
+        if (framing.has_length) {
+            return head_defect::content_length;
+        }
+        framing.chunked = true;
+    }
+    return std::nullopt;
+}
+
+std::optional<head_defect> find_field_defect(std::string_view line, body_framing& framing)
 {
     if (line.front() == ' ' || line.front() == '\t') {
         return head_defect::folded_line;
@@ -79,7 +129,11 @@
         !std::all_of(name.begin(), name.end(), is_token_char)) {
         return head_defect::field_name;
     }
-    return has_control(line.substr(colon + 1)) ? std::optional(head_defect::control_byte) : std::nullopt;
+    const std::string_view value = line.substr(colon + 1);
+    if (has_control(value)) {
+        return head_defect::control_byte;
+    }
+    return find_framing_defect(name, trimmed(value), framing);
 }
 
 std::optional<head_defect> find_reason_defect(std::string_view status_line)
@@ -101,6 +155,7 @@
 {
     head_scan out;
     scan_status_line(received, out);
+    body_framing framing;
     std::size_t begin = 0;
     while (!out.defect) {
         const std::size_t end = received.find('\n', begin);
@@ -112,7 +167,7 @@
             out.size = end + 1;
             break;
         }
-        out.defect = begin == 0 ? find_reason_defect(line) : find_field_defect(line);
+        out.defect = begin == 0 ? find_reason_defect(line) : find_field_defect(line, framing);
         begin = end + 1;
     }
     return out;
--- a/src/pomeloloft/http/response_scan_test.cpp
+++ b/src/pomeloloft/http/response_scan_test.cpp
@@ -79,6 +79,31 @@
     {"control byte in the reason", "HTTP/1.1 200 O\x01K\r\n", head_defect::control_byte, false, 200},
 };
 
+const std::string length_line = "Content-Length: 4\r\n";
+const std::string chunked_line = "Transfer-Encoding: chunked\r\n";
+
+const scan_row framing_rows[] = {
+    {"a length", ok_line + length_line + "\r\n", std::nullopt, true, 200},
+    {"a length with blanks around it", ok_line + "content-LENGTH: \t4 \r\n\r\n", std::nullopt, true, 200},
+    {"chunks", ok_line + chunked_line + "\r\n", std::nullopt, true, 200},
+    {"chunks in capitals", ok_line + "Transfer-encoding:CHUNKED\r\n\r\n", std::nullopt, true, 200},
+    {"fields that begin alike", ok_line + "Content-Length-X: a\r\nX-Transfer-Encoding: b\r\n\r\n",
+     std::nullopt, true, 200},
+    {"two lengths", ok_line + length_line + length_line, head_defect::content_length, false, 200},
+    {"two lengths in one field", ok_line + "Content-Length: 4, 4\r\n", head_defect::content_length, false,
+     200},
+    {"a sign", ok_line + "Content-Length: +4\r\n", head_defect::content_length, false, 200},
+    {"no digits", ok_line + "Content-Length: \r\n", head_defect::content_length, false, 200},
+    {"letters", ok_line + "Content-Length: 4x\r\n", head_defect::content_length, false, 200},
+    {"a length and chunks", ok_line + length_line + chunked_line, head_defect::content_length, false, 200},
+    {"chunks and a length", ok_line + chunked_line + length_line, head_defect::content_length, false, 200},
+    {"chunks twice", ok_line + chunked_line + chunked_line, head_defect::transfer_encoding, false, 200},
+    {"two codings", ok_line + "Transfer-Encoding: gzip, chunked\r\n", head_defect::transfer_encoding, false,
+     200},
+    {"another coding", ok_line + "Transfer-Encoding: gzip\r\n", head_defect::transfer_encoding, false, 200},
+    {"no coding", ok_line + "Transfer-Encoding:\r\n", head_defect::transfer_encoding, false, 200},
+};
+
 void check_scan(const scan_row& row)
 {
     const head_scan scanned = scan_response_head(row.received);
@@ -106,6 +131,11 @@
     check_scan(row);
 }
 
+BOOST_DATA_TEST_CASE(the_end_of_a_body_is_unambiguous, boost::unit_test::data::make(framing_rows), row)
+{
+    check_scan(row);
+}
+
 BOOST_AUTO_TEST_CASE(a_head_ends_before_its_body)
 {
     const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n";
--- a/src/pomeloloft/net/broken_response_test.cpp
+++ b/src/pomeloloft/net/broken_response_test.cpp
@@ -120,6 +120,23 @@
     {"carriage return in a value", ok_line + id_line + "X-Name: va\rlue\r\n" + length_line},
 };
 
+const head_row framing_rows[] = {
+    {"two transfer codings", ok_line + id_line + "Transfer-Encoding: gzip, chunked\r\n"},
+    {"another transfer coding", ok_line + id_line + "Transfer-Encoding: gzip\r\n"},
+    {"two fields with a transfer coding",
+     ok_line + id_line + "Transfer-Encoding: chunked\r\ntransfer-encoding: gzip\r\n"},
+    {"no transfer coding", ok_line + id_line + "Transfer-Encoding:\r\n"},
+    {"a length before a transfer coding", ok_line + id_line + length_line + "Transfer-Encoding: chunked\r\n"},
+    {"a length behind a transfer coding", ok_line + id_line + "Transfer-Encoding: chunked\r\n" + length_line},
+    {"two lengths", ok_line + id_line + length_line + "content-length: 5\r\n"},
+    {"two lengths in one field", ok_line + id_line + "Content-Length: 4, 5\r\n"},
+    {"a sign before the length", ok_line + id_line + "Content-Length: +4\r\n"},
+    {"a negative length", ok_line + id_line + "Content-Length: -4\r\n"},
+    {"an empty length", ok_line + id_line + "Content-Length: \r\n"},
+    {"letters in the length", ok_line + id_line + "Content-Length: 4x\r\n"},
+    {"a length beyond 64 bits", ok_line + id_line + "Content-Length: 18446744073709551620\r\n"},
+};
+
 /// A request whose response reaches the sender together with a reset of the connection.
 struct reset_row : testing::named_row {
     std::size_t body_bytes;
@@ -167,6 +184,17 @@
     BOOST_TEST((steady_clock::now() - started < max_exchange_time));
 }
 
+BOOST_DATA_TEST_CASE(a_head_that_does_not_tell_the_end_of_its_body_is_no_response,
+                     boost::unit_test::data::make(framing_rows), row)
+{
+    raw_remote to(row.head + "\r\nbody");
+    const time_point started = steady_clock::now();
+    const exchange_result ended = call(to, make_request(http::verb::get, 0));
+    BOOST_TEST(name_of(exchange_end_names, ended.end) == "malformed");
+    BOOST_TEST(!ended.reusable);
+    BOOST_TEST((steady_clock::now() - started < max_exchange_time));
+}
+
 // Guards against a reset that only the write of the request reports, and whose connection then seems to end
 // normally.
 BOOST_DATA_TEST_CASE(a_response_that_a_reset_cuts_off_is_incomplete, boost::unit_test::data::make(reset_rows),
--- a/test/integration/broken_responses_test.cpp
+++ b/test/integration/broken_responses_test.cpp
@@ -38,6 +38,9 @@
     {"blank after the length", ok_line + fields + "Content-Length : 4\r\n\r\nbody"},
     {"control byte in a field name", ok_line + fields + "X-\x01Name: value\r\n" + length + "\r\nbody"},
     {"control byte in a field value", ok_line + fields + "X-Name: va\x01lue\r\n" + length + "\r\nbody"},
+    {"two transfer codings",
+     ok_line + fields + "Transfer-Encoding: gzip, chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"},
+    {"two lengths", ok_line + fields + length + "Content-Length: 2\r\n\r\nbody"},
 };
 
 const response_row cut_rows[] = {
