Check the chunks of a body at `pomeloloft proxy`

Cause: POCO takes a chunk whose size it cannot read for the last one, and does not look at the end of a chunk. The connection is still open then, so neither the flag for its end nor the length told the difference.

Change: the bytes that POCO reads also pass through Beast's parser, which the sidecar uses, without keeping the body. At the first violation the read fails, which cuts the caller's connection as for any truncated body. A chunk header or trailers over 64 KB end the response as well.

--- a/include/pomeloloft/http/connection_pool.hpp
+++ b/include/pomeloloft/http/connection_pool.hpp
@@ -14,6 +14,7 @@
 
 #include "pomeloloft/base/clock.hpp"
 #include "pomeloloft/base/error.hpp"
+#include "pomeloloft/http/response_check.hpp"
 
 namespace pomeloloft {
 
@@ -24,8 +25,7 @@
     /// Bytes that may still be received before the head of the final response is complete.
     std::size_t head_bytes_left = 0;
     bool reading_head = false;
-    /// Received bytes from the beginning of the current head.
-    std::string head;
+    response_check check;
 };
 
 /// A client connection that records whether the remote has closed it, so that a truncated body is detected.
@@ -43,7 +43,8 @@
     void set_io_timeout(milliseconds timeout);
 
     /// Reads the head of the final response; throws a POCO exception if it is invalid, exceeds the limit of
-    /// head bytes or the deadline passes. The deadline also applies to the body.
+    /// head bytes or the deadline passes. The deadline also applies to the body, as
+    /// does the check of its chunks.
     std::istream& receive_head(Poco::Net::HTTPResponse& response, time_point deadline);
 
     /// Whether an idle connection can carry another request: it is open and has no unread bytes.
--- a/include/pomeloloft/http/response_scan.hpp
+++ b/include/pomeloloft/http/response_scan.hpp
@@ -47,6 +47,8 @@
     std::size_t size = 0;
     /// 0 until the status line is complete.
     int status = 0;
+    /// Whether the body is sent in chunks.
+    bool chunked = false;
 };
 
 /// Checks the first bytes of a response. A violation is found as soon as the line with it is complete, in the
--- a/src/pomeloloft/http/connection_pool.cpp
+++ b/src/pomeloloft/http/connection_pool.cpp
@@ -20,24 +20,6 @@
 /// Bytes that the head of a response, with the interim responses before it, may have.
 constexpr std::size_t max_head_bytes = 64U << 10U;
 
-/// Checks the bytes of a head, which may follow interim responses; throws if it is invalid. POCO accepts
-/// heads that violate the protocol.
-void check_head(receive_limits& limits, std::string_view received)
-{
-    limits.head += received;
-    for (;;) {
-        const head_scan scanned = scan_response_head(limits.head);
-        if (scanned.defect) {
-            throw Poco::DataFormatException("response head",
-                                            std::string(name_of(head_defect_names, *scanned.defect)));
-        }
-        if (scanned.size == 0 || !is_interim_status(scanned.status)) {
-            return;
-        }
-        limits.head.erase(0, scanned.size);
-    }
-}
-
 /// A socket that records when the remote has closed its side, and stops a response without end. POCO treats
 /// the end of the stream as the end of a chunked body even when the last chunk is missing; the flag
 /// distinguishes the two cases.
@@ -63,7 +45,13 @@
                 throw Poco::DataFormatException("the head of the response is incomplete");
             }
             this->limits->head_bytes_left -= received;
-            check_head(*this->limits, {static_cast<const char*>(buffer), received});
+        }
+        if (count > 0) {
+            const auto checked =
+                this->limits->check.add({static_cast<const char*>(buffer), static_cast<std::size_t>(count)});
+            if (!checked) {
+                throw Poco::DataFormatException(to_string(checked.error()));
+            }
         }
         *this->eof_seen = *this->eof_seen || count == 0;
         return count;
@@ -113,7 +101,7 @@
 {
     this->limits->deadline = deadline;
     this->limits->head_bytes_left = max_head_bytes;
-    this->limits->head.clear();
+    this->limits->check.begin();
     this->limits->reading_head = true;
     std::istream* body = &this->receiveResponse(response);
     while (is_interim_status(response.getStatus())) {
--- a/src/pomeloloft/http/response_scan.cpp
+++ b/src/pomeloloft/http/response_scan.cpp
@@ -165,6 +165,7 @@
         const std::string_view line = without_line_end(received.substr(begin, end - begin));
         if (line.empty()) {
             out.size = end + 1;
+            out.chunked = framing.chunked;
             break;
         }
         out.defect = begin == 0 ? find_reason_defect(line) : find_field_defect(line, framing);
--- a/test/integration/broken_responses_test.cpp
+++ b/test/integration/broken_responses_test.cpp
@@ -55,6 +55,23 @@
     {"103 Early Hints", "HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n"},
 };
 
+const std::string chunked = ok_line + fields + "Transfer-Encoding: chunked\r\n\r\n";
+
+/// Bodies that violate the chunked coding; the connection stays open.
+const response_row broken_body_rows[] = {
+    {"no size of a chunk", chunked + "\r\nbody\r\n0\r\n\r\n"},
+    {"letters as the size of a chunk", chunked + "zz\r\nbody\r\n0\r\n\r\n"},
+    {"negative size of a chunk", chunked + "-4\r\nbody\r\n0\r\n\r\n"},
+    {"prefix in the size of a chunk", chunked + "0x4\r\nbody\r\n0\r\n\r\n"},
+    {"bytes behind the size of a chunk", chunked + "4body\r\nbody\r\n0\r\n\r\n"},
+    {"blank before the size of a chunk", chunked + " 4\r\nbody\r\n0\r\n\r\n"},
+    {"no end of a chunk", chunked + "4\r\nbodyXX0\r\n\r\n"},
+    {"invalid second chunk", chunked + "4\r\nbody\r\nzz\r\nmore\r\n0\r\n\r\n"},
+    {"size beyond 64 bits", chunked + "10000000000000004\r\nbody\r\n0\r\n\r\n"},
+    {"no last chunk", chunked + "4\r\nbody\r\n\r\n"},
+    {"bytes behind the last chunk", chunked + "4\r\nbody\r\n0\r\nX Y: z\r\n\r\n"},
+};
+
 /// More than the buffers of a connection hold, so that the target responds while the body is being written.
 constexpr std::size_t upload_bytes = 8U << 20U;
 
@@ -202,6 +219,18 @@
     BOOST_TEST(read.body.find("signed") == std::string::npos);
 }
 
+BOOST_DATA_TEST_CASE(a_body_with_invalid_chunks_is_not_passed_on_as_complete,
+                     boost::unit_test::data::make(broken_body_rows), row)
+{
+    sidecar_fleet fleet(1);
+    fleet.nodes[0].target->mode = target_mode::sends_raw_response;
+    fleet.nodes[0].target->raw_response = row.bytes;
+    BOOST_TEST(fleet.call(0, read_request("r")).status == 502);
+    proxy_with_target s(row.bytes);
+    const client_response read = call(s.entry.at.callers, {"GET", "/records/1", {}, "", milliseconds{8000}});
+    BOOST_TEST(!(read.status == 200 && read.complete), "complete body: " << read.body);
+}
+
 BOOST_DATA_TEST_CASE(the_final_response_of_a_target_of_a_proxy_follows_interim_ones,
                      boost::unit_test::data::make(interim_rows), row)
 {
