Do not reuse a connection that holds bytes behind a response

Cause: POCO receives up to 4 KB at once and keeps what follows the response in the session. The check before a connection is used again looked at the socket only, so the next request was answered from those bytes.

Change: a connection whose session holds bytes is closed. An extra response that arrives after the next request has been sent is still open at this front, whose requests carry no id of their own (docs/INCIDENTS.md, Open).

Failed before: `broken_responses_test` bytes_behind_a_response_of_a_target_of_a_proxy_answer_no_request, 4 of 4 rows.

--- a/src/pomeloloft/http/connection_pool.cpp
+++ b/src/pomeloloft/http/connection_pool.cpp
@@ -115,7 +115,9 @@
 bool client_connection::is_reusable()
 {
     try {
-        return this->connected() && !this->socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
+        // Bytes behind a response may have been received together with it.
+        return this->connected() && this->buffered() == 0 &&
+               !this->socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
     } catch (const Poco::Exception&) {
         return false;
     }
--- a/test/integration/broken_responses_test.cpp
+++ b/test/integration/broken_responses_test.cpp
@@ -72,6 +72,14 @@
     {"bytes behind the last chunk", chunked + "4\r\nbody\r\n0\r\nX Y: z\r\n\r\n"},
 };
 
+/// A complete response and further bytes.
+const response_row surplus_rows[] = {
+    {"a second response", ok_line + length + "\r\nbody" + ok_line + length + "\r\nmore"},
+    {"a second response behind chunks", chunked + "4\r\nbody\r\n0\r\n\r\n" + ok_line + length + "\r\nmore"},
+    {"a response without a body", ok_line + length + "\r\nbody" + "HTTP/1.1 204 None\r\n\r\n"},
+    {"bytes that are no response", ok_line + length + "\r\nbodymore"},
+};
+
 /// More than the buffers of a connection hold, so that the target responds while the body is being written.
 constexpr std::size_t upload_bytes = 8U << 20U;
 
@@ -85,7 +93,7 @@
     return out;
 }
 
-/// A target of `pomeloloft proxy` that answers each request on a connection of its own with given bytes.
+/// A target of `pomeloloft proxy` that answers each request with given bytes and leaves connections open.
 class raw_target {
 public:
     explicit raw_target(std::string sent_bytes)
@@ -121,10 +129,9 @@
                 Poco::Net::StreamSocket stream = this->listener.acceptConnection();
                 stream.setReceiveTimeout(Poco::Timespan(1, 0));
                 std::array<char, 4096> received{};
-                stream.receiveBytes(received.data(), static_cast<int>(received.size()));
-                stream.sendBytes(this->bytes.data(), static_cast<int>(this->bytes.size()));
                 // Until the proxy closes the connection.
                 while (stream.receiveBytes(received.data(), static_cast<int>(received.size())) > 0) {
+                    stream.sendBytes(this->bytes.data(), static_cast<int>(this->bytes.size()));
                 }
             } catch (const Poco::Exception&) {
                 // The proxy has reset the connection.
@@ -231,6 +238,17 @@
     BOOST_TEST(!(read.status == 200 && read.complete), "complete body: " << read.body);
 }
 
+BOOST_DATA_TEST_CASE(bytes_behind_a_response_of_a_target_of_a_proxy_answer_no_request,
+                     boost::unit_test::data::make(surplus_rows), row)
+{
+    proxy_with_target s(row.bytes);
+    for (int i = 0; i < 3; ++i) {
+        const client_response read = call(s.entry.at.callers, {"GET", "/records/1"});
+        BOOST_TEST(read.status == 200);
+        BOOST_TEST(read.body == "body");
+    }
+}
+
 BOOST_DATA_TEST_CASE(the_final_response_of_a_target_of_a_proxy_follows_interim_ones,
                      boost::unit_test::data::make(interim_rows), row)
 {
