Bound what `pomeloloft proxy` reads of another proxy's answer

The answers to an inquiry about an attempt and to a status query were read into memory as long as bytes arrived, for up to 500 ms. Read from the code, not played with processes; `unit` a_short_body_is_read_up_to_its_limit shows the bound on a remote without end.

Left: the answers of the platform's log and those at the command line, which come from no target.

--- a/include/pomeloloft/http/connection_pool.hpp
+++ b/include/pomeloloft/http/connection_pool.hpp
@@ -5,6 +5,7 @@
 #include <istream>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -60,6 +61,10 @@
     std::shared_ptr<receive_limits> limits = std::make_shared<receive_limits>();
 };
 
+/// Reads a short body.
+/// @return the body; nothing if it is longer than `max_bytes`.
+[[nodiscard]] std::optional<std::string> read_short_body(std::istream& body, std::size_t max_bytes);
+
 /// A connection acquired from the pool.
 struct pooled_connection {
     std::unique_ptr<client_connection> connection;
--- a/src/pomeloloft/http/connection_pool.cpp
+++ b/src/pomeloloft/http/connection_pool.cpp
@@ -123,6 +123,18 @@
     }
 }
 
+std::optional<std::string> read_short_body(std::istream& body, std::size_t max_bytes)
+{
+    std::string out(max_bytes + 1, '\0');
+    body.read(out.data(), static_cast<std::streamsize>(out.size()));
+    const auto received = static_cast<std::size_t>(body.gcount());
+    if (received > max_bytes) {
+        return std::nullopt;
+    }
+    out.resize(received);
+    return out;
+}
+
 std::unique_ptr<client_connection> connection_pool::take_idle(const std::string& address)
 {
     const std::lock_guard lock(this->mutex);
--- a/src/pomeloloft/http/endless_response_test.cpp
+++ b/src/pomeloloft/http/endless_response_test.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <array>
 #include <istream>
+#include <sstream>
 #include <string>
 #include <thread>
 
@@ -118,6 +119,30 @@
     BOOST_TEST((steady_clock::now() - started < response_timeout + deadline_slack));
 }
 
+// Guards against answers of other processes that are read into memory as long as bytes arrive.
+BOOST_AUTO_TEST_CASE(a_short_body_is_read_up_to_its_limit)
+{
+    constexpr std::size_t max_bytes = 1000;
+    std::istringstream longest(std::string(max_bytes, 'b'));
+    BOOST_TEST(read_short_body(longest, max_bytes).value_or("") == std::string(max_bytes, 'b'));
+    std::istringstream too_long(std::string(max_bytes + 1, 'b'));
+    BOOST_TEST(!read_short_body(too_long, max_bytes));
+    std::istringstream empty;
+    BOOST_TEST(read_short_body(empty, max_bytes).value_or("none").empty());
+
+    const endless_row row{"body without a length", "HTTP/1.1 200 OK\r\n\r\n", "body", true};
+    endless_remote remote(row);
+    client_connection connection(remote.address());
+    const time_point deadline = steady_clock::now() + response_timeout;
+    BOOST_REQUIRE(connection.open(deadline));
+    Poco::Net::HTTPRequest sent(Poco::Net::HTTPRequest::HTTP_GET, "/", "HTTP/1.1");
+    connection.sendRequest(sent);
+    Poco::Net::HTTPResponse response;
+    BOOST_TEST(!read_short_body(connection.receive_head(response, deadline), max_bytes));
+    // Well before the deadline, which ends a read without a limit.
+    BOOST_TEST((steady_clock::now() < deadline - response_timeout / 2));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace pomeloloft
--- a/src/pomeloloft/proxy/operator_views.cpp
+++ b/src/pomeloloft/proxy/operator_views.cpp
@@ -4,7 +4,6 @@
 #include <atomic>
 #include <future>
 #include <istream>
-#include <iterator>
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequest.h>
@@ -20,6 +19,7 @@
 using nlohmann::json;
 
 constexpr milliseconds member_status_timeout{500};
+constexpr std::size_t max_status_bytes = 16U << 10U;
 constexpr std::size_t max_fleet_threads = 16;
 constexpr int ok = 200;
 constexpr int not_found = 404;
@@ -44,8 +44,7 @@
         connection.sendRequest(request);
         Poco::Net::HTTPResponse status_response;
         std::istream& stream = connection.receive_head(status_response, deadline);
-        const std::string text(std::istreambuf_iterator<char>(stream), {});
-        const json body = parse_json(text);
+        const json body = parse_json(read_short_body(stream, max_status_bytes).value_or(""));
         row["reachable"] = body.is_object();
         if (!body.is_object()) {
             return row;
--- a/src/pomeloloft/proxy/route_request.cpp
+++ b/src/pomeloloft/proxy/route_request.cpp
@@ -1,6 +1,5 @@
 #include <atomic>
 #include <charconv>
-#include <iterator>
 #include <random>
 #include <thread>
 #include <utility>
@@ -15,6 +14,8 @@
 
 /// Timeout for querying the state of an attempt at another proxy.
 constexpr milliseconds inquiry_timeout{500};
+/// Longer than any name of an attempt's state.
+constexpr std::size_t max_state_bytes = 64;
 
 std::uint64_t random_draw()
 {
@@ -90,8 +91,7 @@
     if (ex.outcome != exchange_outcome::responded) {
         return std::nullopt;
     }
-    const std::string text(std::istreambuf_iterator<char>(*ex.body), {});
-    return value_of(attempt_state_names, text);
+    return value_of(attempt_state_names, read_short_body(*ex.body, max_state_bytes).value_or(""));
 }
 
 /// Whether the response to an attempt can still arrive, according to the remote proxy.
