Tell invalid responses of a target apart in log and metrics

An operator saw "connection to the target ended" for a target that had sent bytes that are no valid response.

--- a/include/pomeloloft/sidecar/crash_check.hpp
+++ b/include/pomeloloft/sidecar/crash_check.hpp
@@ -58,6 +58,8 @@
     std::uint64_t given_up = 0;
     /// Requests refused because the services that their runs call have no room.
     std::uint64_t refused_for_calls = 0;
+    /// Exchanges that ended because the target sent no valid response.
+    std::uint64_t invalid_responses = 0;
 };
 
 } // namespace pomeloloft::sidecar
--- a/src/pomeloloft/sidecar/gate.cpp
+++ b/src/pomeloloft/sidecar/gate.cpp
@@ -95,11 +95,6 @@
            (ended.outcome == attempt_outcome::answered && is_server_error(ended.response));
 }
 
-bool is_encoded(const net::response& response)
-{
-    return response.find(net::http::field::content_encoding) != response.end();
-}
-
 } // namespace
 
 struct target_gate::waiter {
@@ -422,6 +417,7 @@
         out.detail = "target did not answer in time for a repeat";
         out.may_run_until = call.deadline;
     }
+    this->counters.invalid_responses += end == net::exchange_end::malformed ? 1 : 0;
     this->update_failure_ratios(out);
     if (this->on_attempt) {
         this->on_attempt(
@@ -444,43 +440,6 @@
     co_return out;
 }
 
-target_call_result target_gate::classify_exchange(const net::request& sent, net::exchange_result completed,
-                                                  bool reused) const
-{
-    const header_names& names = this->local_settings.headers;
-    target_call_result out;
-    if (completed.end == net::exchange_end::timed_out) {
-        out.outcome = attempt_outcome::timed_out;
-        return out;
-    }
-    if (completed.end == net::exchange_end::cancelled) {
-        out.outcome = attempt_outcome::cancelled;
-        return out;
-    }
-    if (completed.end != net::exchange_end::answered) {
-        out.outcome = attempt_outcome::lost;
-        out.detail = reused ? "reused connection to the target ended" : "connection to the target ended";
-        return out;
-    }
-    net::response& response = completed.response;
-    const bool not_run = response.find(names.not_executed) != response.end() ||
-                         response.result() == net::http::status::misdirected_request;
-    if (not_run) {
-        out.outcome = attempt_outcome::rejected;
-        return out;
-    }
-    const bool success = to_status_class(response.result()) == net::http::status_class::successful;
-    const bool is_complete = sent.method() == net::http::verb::head || !is_encoded(response);
-    if (success && (!is_complete || response.find(names.signature) == response.end())) {
-        out.outcome = attempt_outcome::lost;
-        out.detail = "successful response has no signature header or has a content encoding";
-        return out;
-    }
-    out.outcome = attempt_outcome::answered;
-    out.response = std::move(response);
-    return out;
-}
-
 net::task<bool> target_gate::try_connect()
 {
     auto connected = co_await this->pool.connect(this->address, steady_clock::now() + connect_timeout);
--- a/src/pomeloloft/sidecar/metrics.cpp
+++ b/src/pomeloloft/sidecar/metrics.cpp
@@ -102,6 +102,9 @@
         "pomeloloft_refused_for_calls_total",
         "Requests refused at the target because the services that their runs call have no room."));
     add_counter(families.back(), "by", "run_limit", counted.refused_for_calls);
+    families.push_back(counter_family("pomeloloft_target_invalid_responses_total",
+                                      "Exchanges ended by bytes of the target that are no valid response."));
+    add_counter(families.back(), "outcome", "lost", counted.invalid_responses);
 }
 
 prometheus::MetricFamily gauge(const char* name, const char* help, double value)
