--- a/test/integration/broken_responses.hpp
+++ b/test/integration/broken_responses.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 
 #include "test/named_row.hpp"
@@ -64,4 +65,15 @@
     {"bytes behind a complete response", ok_line + fields + length + "\r\nbody", "more"},
 };
 
+/// The beginnings of responses to an upload.
+inline const response_row cut_rows[] = {
+    {"200 without a length", ok_line + fields + "\r\npart"},
+    {"500 without a length", "HTTP/1.1 500 Failed\r\n" + fields + "\r\npart"},
+    {"200 with a length", ok_line + fields + "Content-Length: 50\r\n\r\npart"},
+};
+
+/// Size of an upload: more than the buffers of a connection hold, so that the target responds while the body
+/// is being written.
+inline constexpr std::size_t upload_bytes = 8U << 20U;
+
 } // namespace pomeloloft::testing
--- a/test/integration/broken_responses_test.cpp
+++ b/test/integration/broken_responses_test.cpp
@@ -15,15 +15,6 @@
 namespace pomeloloft::testing {
 namespace {
 
-const response_row cut_rows[] = {
-    {"200 without a length", ok_line + fields + "\r\npart"},
-    {"500 without a length", "HTTP/1.1 500 Failed\r\n" + fields + "\r\npart"},
-    {"200 with a length", ok_line + fields + "Content-Length: 50\r\n\r\npart"},
-};
-
-/// More than the buffers of a connection hold, so that the target responds while the body is being written.
-constexpr std::size_t upload_bytes = 8U << 20U;
-
 caller_request write_request(const std::string& id, std::size_t body_bytes)
 {
     caller_request out;
--- a/test/integration/proxy_broken_responses_test.cpp
+++ b/test/integration/proxy_broken_responses_test.cpp
@@ -1,6 +1,8 @@
 #define BOOST_TEST_MODULE proxy_broken_responses
 #include <array>
 #include <atomic>
+#include <csignal>
+#include <functional>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -70,13 +72,17 @@
 
     /// Announces the target to its proxy.
     /// @return whether the proxy has accepted it.
-    [[nodiscard]] bool announce(const std::string& local_address) const
+    [[nodiscard]] bool announce(const std::string& local_address, const std::string& service) const
     {
-        const std::string body = R"({"service": "register", "ttl_ms": 60000, "address": ")" +
+        const std::string body = R"({"service": ")" + service + R"(", "ttl_ms": 60000, "address": ")" +
                                  this->listener.address().toString() + "\"}";
         return call(local_address, {"PUT", "/v1/target", {}, body}).status == 200;
     }
 
+    /// If set, each connection is reset after the bytes; called before they are sent and after the reset.
+    std::function<void()> before_reset;
+    std::function<void()> after_reset;
+
     /// Number of connections on which a request was received.
     [[nodiscard]] int requested() const { return this->requested_count; }
 
@@ -108,6 +114,10 @@
                 this->requested_count += requested ? 0 : 1;
                 requested = true;
                 const std::string response = this->response();
+                if (this->before_reset) {
+                    this->send_and_reset(stream, response);
+                    break;
+                }
                 stream.sendBytes(response.data(), static_cast<int>(response.size()));
                 while (!this->block.empty() && !this->stopping) {
                     stream.sendBytes(this->block.data(), static_cast<int>(this->block.size()));
@@ -119,6 +129,15 @@
         this->ended_count += requested ? 1 : 0;
     }
 
+    void send_and_reset(Poco::Net::StreamSocket& stream, const std::string& response) const
+    {
+        this->before_reset();
+        stream.sendBytes(response.data(), static_cast<int>(response.size()));
+        stream.setLinger(true, 0);
+        stream.close();
+        this->after_reset();
+    }
+
     std::string response()
     {
         const std::lock_guard lock(this->mutex);
@@ -138,11 +157,12 @@
 
 /// A `pomeloloft proxy` beside a target that sends given bytes.
 struct proxy_with_target {
-    explicit proxy_with_target(std::string bytes, const std::string& repeated = {})
+    explicit proxy_with_target(std::string bytes, const std::string& repeated = {},
+                               const std::string& service = "register")
         : target(std::move(bytes), repeated)
     {
         BOOST_REQUIRE(this->f.bring_up(this->entry, example_path("savinja/pattern-shop.yaml")));
-        BOOST_REQUIRE(this->target.announce(this->entry.at.local));
+        BOOST_REQUIRE(this->target.announce(this->entry.at.local, service));
         BOOST_REQUIRE(this->f.wait_for_endpoints(this->entry, 1, startup_timeout));
     }
 
@@ -213,6 +233,35 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_response_that_a_reset_cuts_off_during_an_upload_is_no_answer)
+{
+    proxy_with_target s(good_response, {}, "geometry");
+    constexpr int rounds = 5;
+    const std::chrono::milliseconds stop_time{5};
+    // The proxy sees the response and the reset at the same time.
+    s.target.before_reset = [&] {
+        s.entry.process->signal(SIGSTOP);
+        std::this_thread::sleep_for(stop_time);
+    };
+    s.target.after_reset = [&] {
+        std::this_thread::sleep_for(stop_time);
+        s.entry.process->signal(SIGCONT);
+    };
+    for (const response_row& row : cut_rows) {
+        BOOST_TEST_CONTEXT(row.name)
+        {
+            s.target.respond_with(row.bytes);
+            for (int round = 0; round < rounds; ++round) {
+                const client_response sent =
+                    call(s.entry.at.callers,
+                         {"PUT", "/scans/1", {}, std::string(upload_bytes, 'x'), milliseconds{8000}});
+                BOOST_TEST(sent.status == 502);
+            }
+        }
+    }
+    BOOST_TEST(s.target.requested() == static_cast<int>(std::size(cut_rows)) * rounds);
+}
+
 BOOST_AUTO_TEST_CASE(bytes_behind_a_response_answer_no_request)
 {
     for (const response_row& row : surplus_rows) {
