Soak: broken heads and resets among the faults of targets

Two further modes of a target, with a response drawn from the tables of broken_responses.hpp, and a check that no caller gets the body of one.

--- a/test/integration/soak_test.cpp
+++ b/test/integration/soak_test.cpp
@@ -7,6 +7,7 @@
 #include <iostream>
 #include <optional>
 #include <random>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -15,6 +16,7 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include "broken_responses.hpp"
 #include "pomeloloft/net/spawn.hpp"
 #include "pomeloloft/net/timer.hpp"
 #include "sidecar_fleet.hpp"
@@ -70,12 +72,19 @@
     return text == nullptr ? 5 : std::strtoul(text, nullptr, 10);
 }
 
-const target_mode faulty_modes[] = {target_mode::responds_500,           target_mode::sheds_load,
-                                    target_mode::truncates_body,         target_mode::unsigned_response,
-                                    target_mode::stale_response_first,   target_mode::extra_response,
-                                    target_mode::close_delimited_body,   target_mode::invalid_http,
-                                    target_mode::repeats_refusal,        target_mode::never_responds,
-                                    target_mode::closes_without_response};
+const target_mode faulty_modes[] = {target_mode::responds_500,
+                                    target_mode::sheds_load,
+                                    target_mode::truncates_body,
+                                    target_mode::unsigned_response,
+                                    target_mode::stale_response_first,
+                                    target_mode::extra_response,
+                                    target_mode::close_delimited_body,
+                                    target_mode::invalid_http,
+                                    target_mode::repeats_refusal,
+                                    target_mode::never_responds,
+                                    target_mode::closes_without_response,
+                                    target_mode::sends_raw_response,
+                                    target_mode::resets_after_raw_response};
 
 const store_mode faulty_store_modes[] = {store_mode::busy, store_mode::reset, store_mode::loses_responses,
                                          store_mode::silent};
@@ -207,11 +216,24 @@
     {
         const auto mode = static_cast<std::size_t>(this->draw(0, std::size(faulty_modes) - 1));
         this->note("target mode " + std::to_string(mode), node, ms);
-        this->fleet.nodes[node].target->mode = faulty_modes[mode];
+        platform_target& target = *this->fleet.nodes[node].target;
+        target.mode = faulty_modes[mode];
+        if (target.mode == target_mode::sends_raw_response) {
+            target.raw_response = this->draw_response(broken_rows);
+        } else if (target.mode == target_mode::resets_after_raw_response) {
+            target.raw_response = this->draw_response(cut_rows);
+        }
         this->after(milliseconds(ms),
                     [this, node] { this->fleet.nodes[node].target->mode = target_mode::answers; });
     }
 
+    std::string draw_response(std::span<const response_row> rows)
+    {
+        const response_row& drawn = rows[static_cast<std::size_t>(this->draw(0, std::ssize(rows) - 1))];
+        this->schedule.push_back(std::string("  ") + drawn.name);
+        return drawn.bytes;
+    }
+
     void signal(std::size_t node, int number)
     {
         if (this->fleet.nodes[node].process->running()) {
@@ -359,6 +381,9 @@
         if (r.status == 200 && (runs == 0 || r.body.substr(0, 5) != "by i-")) {
             this->violations.push_back("wrong response: " + name + ", body " + r.body);
         }
+        if (r.body == "body" || r.body == "part") {
+            this->violations.push_back("broken response: " + name + ", body " + r.body);
+        }
         if (this->planned_only && r.done && !r.left_at && r.status == 0 && runs > 0) {
             this->violations.push_back("cut off: " + name);
         }
