--- a/test/integration/soak_test.cpp
+++ b/test/integration/soak_test.cpp
@@ -64,6 +64,8 @@
     /// 0 without a response.
     int status = 0;
     std::string body;
+    /// The caller received bytes that are no valid response, or a response to another request.
+    bool malformed = false;
 };
 
 std::size_t node_count()
@@ -325,6 +327,7 @@
                 record.status = static_cast<int>(ended.response.result_int());
                 record.body = ended.response.body();
             }
+            record.malformed = ended.end == net::exchange_end::malformed;
             if (!ended.reusable) {
                 kept.reset();
             }
@@ -381,7 +384,7 @@
         if (r.status == 200 && (runs == 0 || r.body.substr(0, 5) != "by i-")) {
             this->violations.push_back("wrong response: " + name + ", body " + r.body);
         }
-        if (r.body == "body" || r.body == "part") {
+        if (r.malformed || r.body == "body" || r.body == "part") {
             this->violations.push_back("broken response: " + name + ", body " + r.body);
         }
         if (this->planned_only && r.done && !r.left_at && r.status == 0 && runs > 0) {
