--- a/include/pomeloloft/http/connection_pool.hpp
+++ b/include/pomeloloft/http/connection_pool.hpp
@@ -26,6 +26,7 @@
     /// Bytes that may still be received before the head of the final response is complete.
     std::size_t head_bytes_left = 0;
     bool reading_head = false;
+    /// Finds violations of the protocol in what is received.
     response_check check;
 };
 
@@ -44,8 +45,8 @@
     void set_io_timeout(milliseconds timeout);
 
     /// Reads the head of the final response; throws a POCO exception if it is invalid, exceeds the limit of
-    /// head bytes or the deadline passes. The deadline also applies to the body, as
-    /// does the check of its chunks.
+    /// head bytes or the deadline passes. Reading the body fails if the deadline passes or its chunks are
+    /// invalid.
     std::istream& receive_head(Poco::Net::HTTPResponse& response, time_point deadline);
 
     /// Whether an idle connection can carry another request: it is open and has no unread bytes.
--- a/src/pomeloloft/http/broken_response_test.cpp
+++ b/src/pomeloloft/http/broken_response_test.cpp
@@ -152,6 +152,14 @@
     }
 }
 
+void check_that_head_is_refused(const std::string& head)
+{
+    const raw_remote remote(head + "\r\n" + sent_body);
+    const time_point started = steady_clock::now();
+    BOOST_TEST(!call(remote));
+    BOOST_TEST((steady_clock::now() - started < max_response_time));
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(broken_responses_of_blocking_connections)
@@ -159,28 +167,19 @@
 BOOST_DATA_TEST_CASE(a_head_with_an_invalid_status_is_no_response, boost::unit_test::data::make(status_rows),
                      row)
 {
-    const raw_remote remote(row.head + "\r\n" + sent_body);
-    const time_point started = steady_clock::now();
-    BOOST_TEST(!call(remote));
-    BOOST_TEST((steady_clock::now() - started < max_response_time));
+    check_that_head_is_refused(row.head);
 }
 
 BOOST_DATA_TEST_CASE(a_head_with_an_invalid_field_line_is_no_response,
                      boost::unit_test::data::make(field_rows), row)
 {
-    const raw_remote remote(row.head + "\r\n" + sent_body);
-    const time_point started = steady_clock::now();
-    BOOST_TEST(!call(remote));
-    BOOST_TEST((steady_clock::now() - started < max_response_time));
+    check_that_head_is_refused(row.head);
 }
 
 BOOST_DATA_TEST_CASE(a_head_that_does_not_tell_the_end_of_its_body_is_no_response,
                      boost::unit_test::data::make(framing_rows), row)
 {
-    const raw_remote remote(row.head + "\r\n" + sent_body);
-    const time_point started = steady_clock::now();
-    BOOST_TEST(!call(remote));
-    BOOST_TEST((steady_clock::now() - started < max_response_time));
+    check_that_head_is_refused(row.head);
 }
 
 BOOST_DATA_TEST_CASE(the_final_response_follows_interim_ones, boost::unit_test::data::make(interim_rows), row)
--- a/src/pomeloloft/http/response_check.cpp
+++ b/src/pomeloloft/http/response_check.cpp
@@ -1,6 +1,7 @@
 #include "pomeloloft/http/response_check.hpp"
 
-#include <optional>
+#include <cstdint>
+#include <utility>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
--- a/src/pomeloloft/net/broken_response_test.cpp
+++ b/src/pomeloloft/net/broken_response_test.cpp
@@ -158,6 +158,16 @@
     {"no length, request without a body", 0, ok_line + id_line + "\r\npart", exchange_end::lost},
 };
 
+void check_that_head_is_refused(const std::string& head)
+{
+    raw_remote to(head + "\r\nbody");
+    const time_point started = steady_clock::now();
+    const exchange_result ended = call(to, make_request(http::verb::get, 0));
+    BOOST_TEST(name_of(exchange_end_names, ended.end) == "malformed");
+    BOOST_TEST(!ended.reusable);
+    BOOST_TEST((steady_clock::now() - started < max_exchange_time));
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(broken_responses)
@@ -165,34 +175,19 @@
 BOOST_DATA_TEST_CASE(a_head_with_an_invalid_status_is_no_response, boost::unit_test::data::make(status_rows),
                      row)
 {
-    raw_remote to(row.head + "\r\nbody");
-    const time_point started = steady_clock::now();
-    const exchange_result ended = call(to, make_request(http::verb::get, 0));
-    BOOST_TEST(name_of(exchange_end_names, ended.end) == "malformed");
-    BOOST_TEST(!ended.reusable);
-    BOOST_TEST((steady_clock::now() - started < max_exchange_time));
+    check_that_head_is_refused(row.head);
 }
 
 BOOST_DATA_TEST_CASE(a_head_with_an_invalid_field_line_is_no_response,
                      boost::unit_test::data::make(field_rows), row)
 {
-    raw_remote to(row.head + "\r\nbody");
-    const time_point started = steady_clock::now();
-    const exchange_result ended = call(to, make_request(http::verb::get, 0));
-    BOOST_TEST(name_of(exchange_end_names, ended.end) == "malformed");
-    BOOST_TEST(!ended.reusable);
-    BOOST_TEST((steady_clock::now() - started < max_exchange_time));
+    check_that_head_is_refused(row.head);
 }
 
 BOOST_DATA_TEST_CASE(a_head_that_does_not_tell_the_end_of_its_body_is_no_response,
                      boost::unit_test::data::make(framing_rows), row)
 {
-    raw_remote to(row.head + "\r\nbody");
-    const time_point started = steady_clock::now();
-    const exchange_result ended = call(to, make_request(http::verb::get, 0));
-    BOOST_TEST(name_of(exchange_end_names, ended.end) == "malformed");
-    BOOST_TEST(!ended.reusable);
-    BOOST_TEST((steady_clock::now() - started < max_exchange_time));
+    check_that_head_is_refused(row.head);
 }
 
 // Guards against a reset that only the write of the request reports, and whose connection then seems to end
--- a/src/pomeloloft/net/client.cpp
+++ b/src/pomeloloft/net/client.cpp
@@ -305,6 +305,7 @@
     std::optional<response_read_result> refusal;
 };
 
+/// Records how the last write of a request ended.
 void record_write_end(write_result& out, const error_code& ec)
 {
     out.complete = !ec;
