--- a/cmake/pomeloloft_tests.cmake
+++ b/cmake/pomeloloft_tests.cmake
@@ -54,6 +54,12 @@
   ENVIRONMENT "BOOST_TEST_RUN_FILTERS=!${unread_answers_row}")
 add_test(NAME crowd_unread_answers_test COMMAND crowd_test --run_test=${unread_answers_row})
 set_tests_properties(crowd_unread_answers_test PROPERTIES RUN_SERIAL TRUE TIMEOUT 60)
+# One row is listed in KNOWN-RED.txt; as a test of its own, the others still count.
+set(full_slots_row
+  planned_shutdown/a_request_read_during_the_grace_period_is_answered_before_the_process_ends/_2)
+set_tests_properties(shutdown_test PROPERTIES ENVIRONMENT "BOOST_TEST_RUN_FILTERS=!${full_slots_row}")
+add_test(NAME shutdown_full_slots_test COMMAND shutdown_test --run_test=${full_slots_row})
+set_tests_properties(shutdown_full_slots_test PROPERTIES TIMEOUT 60)
 
 foreach(tool demo experiment latency load report)
   if(EXISTS ${CMAKE_SOURCE_DIR}/tools/${tool}.cpp)
