Test of responses without end at the proxy: check the connections once all callers are done

It now runs after all callers have been served or have left, with the same bound of 4 s from the start.

--- a/test/integration/proxy_broken_responses_test.cpp
+++ b/test/integration/proxy_broken_responses_test.cpp
@@ -299,19 +299,22 @@
     /// Memory that a node may use for control.
     constexpr double max_memory_mb = 256;
     proxy_with_target s(row.bytes, row.repeated);
+    // The deadline of the route, 2 s, and as much again.
+    const time_point ended_by = steady_clock::now() + milliseconds{4000};
     std::vector<std::thread> callers;
     for (int i = 0; i < caller_count; ++i) {
         // Half of the callers leave before the deadline of the route, 2 s.
         const std::chrono::milliseconds patience{i % 2 == 0 ? 500 : 10'000};
         callers.emplace_back([&s, patience] { receive_and_discard(s.entry.at.callers, patience); });
     }
-    BOOST_TEST(wait_until(milliseconds{1000}, [&] { return s.target.requested() > 0; }));
-    const bool all_ended =
-        wait_until(milliseconds{4000}, [&] { return s.target.ended() == s.target.requested(); });
-    BOOST_TEST(all_ended);
     for (std::thread& caller : callers) {
         caller.join();
     }
+    BOOST_TEST(s.target.requested() > 0);
+    // All callers have been served or have left, so no further request reaches the target.
+    const bool all_ended = wait_until(remaining(ended_by, steady_clock::now()),
+                                      [&] { return s.target.ended() == s.target.requested(); });
+    BOOST_TEST(all_ended);
     BOOST_TEST(s.entry.process->running());
     BOOST_TEST(read_footprint(s.entry.process->id()).peak_resident_mb < max_memory_mb);
     BOOST_TEST(s.entry.ready());
