Fault proxy of the tests: release connections that have ended

Cause: the test's fault proxies kept both sockets of every connection until they were destroyed. Under the debugger the test process was at descriptor 19,999 of 20,000 when it aborted. Without descriptors its calls fail, which reads as version -1; a restart that cannot make a pipe throws, and the threads of the case, still joinable, end the process. The number of connections rises with the speed of the machine, so slower ones stayed below the limit.

The proxies now release sockets and threads of ended connections. No check or bound was changed.

--- a/test/stand_ins/fault_proxy.cpp
+++ b/test/stand_ins/fault_proxy.cpp
@@ -73,9 +73,24 @@
     }
 }
 
+void fault_proxy::remove_ended()
+{
+    constexpr int threads_of_a_relay = 2;
+    const std::lock_guard lock(this->mutex);
+    this->relays.remove_if([](const std::unique_ptr<relay>& r) {
+        if (r->ended_threads < threads_of_a_relay) {
+            return false;
+        }
+        r->upstream_thread.join();
+        r->downstream_thread.join();
+        return true;
+    });
+}
+
 void fault_proxy::accept_until_stopped()
 {
     while (!this->stopping) {
+        this->remove_ended();
         try {
             if (!this->listener.poll(Poco::Timespan(poll_us), Poco::Net::Socket::SELECT_READ)) {
                 continue;
@@ -157,6 +172,7 @@
         close(r);
     }
     close(r);
+    ++r.ended_threads;
 }
 
 } // namespace pomeloloft::stand_ins
--- a/test/stand_ins/fault_proxy.hpp
+++ b/test/stand_ins/fault_proxy.hpp
@@ -74,6 +74,7 @@
         Poco::Net::StreamSocket upstream_socket;
         std::uint64_t connection_number = 0;
         std::atomic<bool> done{false};
+        std::atomic<int> ended_threads{0};
         std::thread upstream_thread;
         std::thread downstream_thread;
     };
@@ -83,6 +84,9 @@
     [[nodiscard]] bool is_silent(const relay& r, bool upstream) const;
     static void close(relay& r);
 
+    /// Releases the sockets and threads of connections that have ended.
+    void remove_ended();
+
     std::string remote;
     Poco::Net::ServerSocket listener;
     std::atomic<link_fault> fault{link_fault::none};
