Close pooled connections that have received bytes behind their last response

Cause: a connection was checked for unread bytes when it was returned to the pool and when it was taken again, not in between. Bytes that arrived in between kept it open until the idle time of the pool. The pool of the sidecar's client had the same gap, and both kept connections that the remote had closed.

--- a/include/pomeloloft/http/connection_pool.hpp
+++ b/include/pomeloloft/http/connection_pool.hpp
@@ -96,7 +96,8 @@
     /// Closes all idle connections to an address.
     void discard(const std::string& address);
 
-    /// Closes connections that have exceeded their idle time.
+    /// Closes connections that have exceeded their idle time, and those that cannot be reused because the
+    /// remote has closed them or has sent bytes that belong to no request.
     void sweep();
 
     /// Number of idle connections.
--- a/include/pomeloloft/net/client.hpp
+++ b/include/pomeloloft/net/client.hpp
@@ -76,9 +76,13 @@
     /// Closes all idle connections to an address.
     void discard(const tcp::endpoint& address) { this->idle.erase(address); }
 
-    /// Closes connections that have exceeded their idle time.
+    /// Closes connections that have exceeded their idle time, and those that cannot be reused because the
+    /// remote has closed them or has sent bytes that belong to no request.
     void sweep();
 
+    /// Number of idle connections.
+    [[nodiscard]] std::size_t idle_connections() const;
+
 private:
     event_loop& loop;
     client_options options;
--- a/src/pomeloloft/http/connection_pool.cpp
+++ b/src/pomeloloft/http/connection_pool.cpp
@@ -195,7 +195,9 @@
     const time_point cutoff = steady_clock::now() - this->options.max_idle;
     const std::lock_guard lock(this->mutex);
     for (auto& [unused, list] : this->idle_by_address) {
-        std::erase_if(list, [cutoff](const auto& connection) { return connection->idle_since < cutoff; });
+        std::erase_if(list, [cutoff](const auto& connection) {
+            return connection->idle_since < cutoff || !connection->is_reusable();
+        });
     }
     std::erase_if(this->idle_by_address, [](const auto& item) { return item.second.empty(); });
 }
--- a/src/pomeloloft/net/client.cpp
+++ b/src/pomeloloft/net/client.cpp
@@ -284,12 +284,21 @@
     for (auto& [address, list] : this->idle) {
         std::erase_if(list, [this, now](const connection_ptr& held) {
             return now - held->idle_since >= this->options.max_idle ||
-                   now + expiry_margin >= held->expires_at;
+                   now + expiry_margin >= held->expires_at || !is_idle_and_open(held->stream);
         });
     }
     std::erase_if(this->idle, [](const auto& entry) { return entry.second.empty(); });
 }
 
+std::size_t client_pool::idle_connections() const
+{
+    std::size_t count = 0;
+    for (const auto& [address, list] : this->idle) {
+        count += list.size();
+    }
+    return count;
+}
+
 namespace {
 
 /// How writing a request ended.
--- a/test/integration/proxy_broken_responses_test.cpp
+++ b/test/integration/proxy_broken_responses_test.cpp
@@ -83,6 +83,9 @@
     std::function<void()> before_reset;
     std::function<void()> after_reset;
 
+    /// Time between the first bytes and the repeated ones.
+    std::chrono::milliseconds pause{0};
+
     /// Number of connections on which a request was received.
     [[nodiscard]] int requested() const { return this->requested_count; }
 
@@ -119,6 +122,7 @@
                     break;
                 }
                 stream.sendBytes(response.data(), static_cast<int>(response.size()));
+                std::this_thread::sleep_for(this->pause);
                 while (!this->block.empty() && !this->stopping) {
                     stream.sendBytes(this->block.data(), static_cast<int>(this->block.size()));
                 }
@@ -277,6 +281,17 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_connection_ends_when_bytes_arrive_behind_its_last_response)
+{
+    // Above the 2 s that a request may take on this route, and below the 10 s of an idle connection.
+    constexpr milliseconds limit{4000};
+    proxy_with_target s(good_response, "more");
+    s.target.pause = std::chrono::milliseconds{200};
+    BOOST_TEST(s.read().status == 200);
+    BOOST_TEST(wait_until(limit, [&s] { return s.target.ended() == 1; }));
+    BOOST_TEST(s.read().status == 200);
+}
+
 BOOST_AUTO_TEST_CASE(the_final_response_follows_interim_ones)
 {
     proxy_with_target s(good_response);
