Check and limit the answers that the log client and the command line read

Both kept as many bytes as arrived (100 MB in the test).

Cause: both read with POCO directly, without the checks and limits that client_connection adds for targets and other proxies.

Both now use call_once: checked heads and chunks, a deadline for the whole response, cut bodies as errors, at most 64 MB. A batch of log records beyond that is read again with half as many records, so a node still catches up with large ones; before, the whole batch was kept in memory.

--- a/include/pomeloloft/cli/operator_client.hpp
+++ b/include/pomeloloft/cli/operator_client.hpp
@@ -18,7 +18,8 @@
 
 /// Sends one request to a proxy's operator listener.
 /// @param address `host:port`.
-/// @return the response, whatever its status; `unavailable` when none was received.
+/// @return the complete response, whatever its status; `unavailable` if none was received within 30 s, or if
+/// it is invalid, cut off or longer than 64 MB. The request may then have taken effect.
 [[nodiscard]] result<operator_response> call_operator(const std::string& address, const std::string& method,
                                                       const std::string& path, const std::string& body = {});
 
--- a/include/pomeloloft/log/log_client.hpp
+++ b/include/pomeloloft/log/log_client.hpp
@@ -47,8 +47,9 @@
 };
 
 /// Client of the log service, as three operations. Errors: `unavailable`, `timeout` (an append may have taken
-/// effect), `refused` (the rate limit of the log is exceeded; nothing was appended), `corrupt` (malformed
-/// response; an append may have taken effect).
+/// effect), `refused` (the rate limit of the log is exceeded; nothing was appended), `corrupt` (malformed or
+/// incomplete response, or one of more than 64 MB; an append may have taken effect). A read whose records
+/// exceed 64 MB returns fewer of them.
 struct log_client {
     std::function<result<std::uint64_t>(std::string_view stream, std::string_view data)> append;
     std::function<result<log_batch>(const log_read_request& request)> read;
--- a/src/pomeloloft/log/http_log_client.cpp
+++ b/src/pomeloloft/log/http_log_client.cpp
@@ -1,61 +1,45 @@
-#include <istream>
-#include <iterator>
-#include <ostream>
+#include <algorithm>
 #include <string>
 
-#include <Poco/Exception.h>
-#include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
-#include <Poco/Net/SocketAddress.h>
 #include <nlohmann/json.hpp>
 
 #include "pomeloloft/base/json_text.hpp"
+#include "pomeloloft/http/single_call.hpp"
 #include "pomeloloft/log/log_client.hpp"
 
 namespace pomeloloft {
 namespace {
 
 using nlohmann::json;
-using Poco::Net::HTTPClientSession;
 using Poco::Net::HTTPRequest;
-using Poco::Net::HTTPResponse;
 
 constexpr milliseconds default_response_time{2000};
+constexpr int http_ok = 200;
 constexpr int http_too_many_requests = 429;
 
-struct log_response {
-    int status = 0;
-    std::string body;
-};
+/// Bytes that an answer may have: a record of 1 MB takes up to 6 MB as a JSON string.
+constexpr std::size_t max_answer_bytes = 64U << 20U;
 
-result<log_response> send_request(const std::string& address, HTTPRequest& request, std::string_view body,
-                                  milliseconds response_time = default_response_time)
+result<single_response> send_request(const std::string& address, HTTPRequest& request, std::string_view body,
+                                     time_point deadline)
 {
-    try {
-        HTTPClientSession session{Poco::Net::SocketAddress(address)};
-        session.setTimeout(Poco::Timespan(response_time.count() * Poco::Timespan::MILLISECONDS));
-        request.setContentLength(static_cast<std::streamsize>(body.size()));
-        session.sendRequest(request) << body;
-        HTTPResponse http_response;
-        std::istream& stream = session.receiveResponse(http_response);
-        log_response response;
-        response.status = http_response.getStatus();
-        response.body.assign(std::istreambuf_iterator<char>(stream), {});
-        return response;
-    } catch (const Poco::TimeoutException&) {
-        return error{error_code::timeout, "log", "no answer from " + address + " in time"};
-    } catch (const Poco::Exception& failure) {
-        return error{error_code::unavailable, "log", address + ": " + failure.displayText()};
+    auto response = call_once(address, request, body, deadline, max_answer_bytes);
+    if (!response) {
+        return error{response.error().code, "log", to_string(response.error())};
     }
+    return response;
 }
 
-result<json> parse_body(const log_response& response)
+result<json> parse_body(const single_response& response)
 {
+    if (response.body_too_long) {
+        return error{error_code::corrupt, "log", "answer is too long"};
+    }
     if (response.status == http_too_many_requests) {
         return error{error_code::refused, "log", "over the log's rate"};
     }
-    if (response.status != HTTPResponse::HTTP_OK) {
+    if (response.status != http_ok) {
         return error{error_code::unavailable, "log", "answered " + std::to_string(response.status)};
     }
     json body = parse_json(response.body);
@@ -84,7 +68,8 @@
                                     std::string_view data)
 {
     HTTPRequest request(HTTPRequest::HTTP_POST, stream_path(stream) + "/records", HTTPRequest::HTTP_1_1);
-    BOOST_OUTCOME_TRY(auto response, send_request(address, request, data));
+    BOOST_OUTCOME_TRY(auto response,
+                      send_request(address, request, data, steady_clock::now() + default_response_time));
     BOOST_OUTCOME_TRY(auto body, parse_body(response));
     try {
         return body.at("offset").get<std::uint64_t>();
@@ -93,18 +78,31 @@
     }
 }
 
+/// Reads at most `max_records` records. If they exceed the limit on answers, fewer are read.
+result<single_response> read_batch(const std::string& address, const log_read_request& read,
+                                   time_point deadline)
+{
+    for (std::uint32_t max_records = read.max_records;; max_records /= 2) {
+        const milliseconds wait = remaining(read.wait_deadline, steady_clock::now());
+        HTTPRequest request(HTTPRequest::HTTP_GET,
+                            stream_path(read.stream) + "/records?from=" + std::to_string(read.from) +
+                                "&max=" + std::to_string(max_records) +
+                                "&wait_ms=" + std::to_string(wait.count()),
+                            HTTPRequest::HTTP_1_1);
+        BOOST_OUTCOME_TRY(auto response, send_request(address, request, {}, deadline));
+        if (!response.body_too_long || max_records <= 1) {
+            return response;
+        }
+    }
+}
+
 result<log_batch> read_records(const std::string& address, const log_read_request& read)
 {
-    const time_point now = steady_clock::now();
-    const milliseconds wait = remaining(read.wait_deadline, now);
-    const milliseconds response_time = read.response_deadline == no_deadline
-                                           ? wait + default_response_time
-                                           : remaining(read.response_deadline, now);
-    HTTPRequest request(HTTPRequest::HTTP_GET,
-                        stream_path(read.stream) + "/records?from=" + std::to_string(read.from) + "&max=" +
-                            std::to_string(read.max_records) + "&wait_ms=" + std::to_string(wait.count()),
-                        HTTPRequest::HTTP_1_1);
-    BOOST_OUTCOME_TRY(auto response, send_request(address, request, {}, response_time));
+    const time_point deadline =
+        read.response_deadline == no_deadline
+            ? std::max(read.wait_deadline, steady_clock::now()) + default_response_time
+            : read.response_deadline;
+    BOOST_OUTCOME_TRY(auto response, read_batch(address, read, deadline));
     BOOST_OUTCOME_TRY(auto body, parse_body(response));
     try {
         log_batch batch{read_bounds(body), {}};
@@ -121,7 +119,8 @@
 result<log_bounds> stream_bounds(const std::string& address, std::string_view stream)
 {
     HTTPRequest request(HTTPRequest::HTTP_GET, stream_path(stream), HTTPRequest::HTTP_1_1);
-    BOOST_OUTCOME_TRY(auto response, send_request(address, request, {}));
+    BOOST_OUTCOME_TRY(auto response,
+                      send_request(address, request, {}, steady_clock::now() + default_response_time));
     BOOST_OUTCOME_TRY(auto body, parse_body(response));
     try {
         return read_bounds(body);
