Hold back SIGHUP, SIGTERM and SIGINT until a sidecar handles them

The sidecar now blocks the three signals first thing and delivers them once their handlers are installed: SIGHUP reloads the settings, SIGTERM is a planned shutdown.

What remains: the time before main.

--- a/src/pomeloloft/cli/sidecar_commands.cpp
+++ b/src/pomeloloft/cli/sidecar_commands.cpp
@@ -56,6 +56,30 @@
     }
 }
 
+/// Holds back the signals that the sidecar handles. Their default action, until handlers are installed, ends
+/// the process.
+class held_signals {
+public:
+    held_signals()
+    {
+        sigset_t held;
+        sigemptyset(&held);
+        for (const int number : {SIGTERM, SIGINT, SIGHUP}) {
+            sigaddset(&held, number);
+        }
+        pthread_sigmask(SIG_BLOCK, &held, &this->previous);
+    }
+    held_signals(const held_signals&) = delete;
+    held_signals& operator=(const held_signals&) = delete;
+    ~held_signals() { this->deliver(); }
+
+    /// Delivers the signals that have arrived.
+    void deliver() const { pthread_sigmask(SIG_SETMASK, &this->previous, nullptr); }
+
+private:
+    sigset_t previous{};
+};
+
 void wait_for_signal(signal_set& signals, sidecar::sidecar_daemon& daemon, const std::string& path)
 {
     signals.async_wait([&signals, &daemon, &path](const net::error_code& failed, int number) {
@@ -84,6 +108,7 @@
 
 int run_sidecar(const argument_list& arguments)
 {
+    const held_signals held;
     if (is_help_requested(arguments)) {
         std::cout << usage;
         return to_int(exit_code::ok);
@@ -111,6 +136,7 @@
     }
     signal_set signals(loop, SIGTERM, SIGINT, SIGHUP);
     wait_for_signal(signals, daemon, path);
+    held.deliver();
     net::spawn(loop, watch_settings(daemon, path), "watch-settings");
     log_info("started", {{"service", own.service}, {"data_centre", own.data_centre}});
     loop.run();
--- a/test/integration/sidecar_fleet.cpp
+++ b/test/integration/sidecar_fleet.cpp
@@ -152,10 +152,14 @@
         POMELOLOFT_BINARY, std::vector<std::string>{"sidecar", path + ".env"}, path + ".log");
 }
 
+std::string sidecar_fleet::settings_path(std::size_t node) const
+{
+    return this->directory + "/" + this->nodes[node].node_settings.node + ".env";
+}
+
 void sidecar_fleet::append_settings(std::size_t node, const std::string& lines) const
 {
-    std::ofstream(this->directory + "/" + this->nodes[node].node_settings.node + ".env", std::ios::app)
-        << lines;
+    std::ofstream(this->settings_path(node), std::ios::app) << lines;
 }
 
 std::string sidecar_fleet::log_of(std::size_t node) const
--- a/test/integration/sidecar_fleet.hpp
+++ b/test/integration/sidecar_fleet.hpp
@@ -108,6 +108,9 @@
     /// Starts a node's sidecar. It must not be running.
     void start(std::size_t node);
 
+    /// Path of a node's settings file; its log is beside it.
+    [[nodiscard]] std::string settings_path(std::size_t node) const;
+
     /// Appends lines to a node's settings file.
     void append_settings(std::size_t node, const std::string& lines) const;
 
