Test of hedging: begin with a full retry budget

A process earns its 20 repeats by its first 200 requests; a second attempt costs three of them and is made only while the budget is full. One that was due among the last of the 220 learning requests left 24 slow reads with too few deposits (30 are needed), so the product held all of them back, as docs/design/hedging.md says.

Noted as open: without second attempts all 24 reads beside the silent target timed out while two other targets were idle.

--- a/cmake/pomeloloft_tests.cmake
+++ b/cmake/pomeloloft_tests.cmake
@@ -62,8 +62,6 @@
 endfunction()
 pomeloloft_separate_case(shutdown_full_slots_test shutdown_test
   planned_shutdown/a_request_read_during_the_grace_period_is_answered_before_the_process_ends/_2)
-pomeloloft_separate_case(hedging_silent_target_test hedging_test
-  hedging_processes/a_read_at_a_target_that_does_not_respond_is_answered_by_another)
 
 foreach(tool demo experiment latency load report)
   if(EXISTS ${CMAKE_SOURCE_DIR}/tools/${tool}.cpp)
--- a/test/integration/hedging_test.cpp
+++ b/test/integration/hedging_test.cpp
@@ -22,11 +22,30 @@
     return out;
 }
 
-/// Sends reads until the process knows the response times.
+/// Requests that make up in the retry budget for a second attempt, which costs three repeats of ten requests
+/// each.
+constexpr int refill_requests = 30;
+
+/// Number of second attempts that the process beside the callers has begun.
+std::string begun_second_attempts(sidecar_fleet& fleet)
+{
+    const std::string name = "pomeloloft_hedges_total{state=\"begun\"} ";
+    const std::string metrics = fleet.metrics(0);
+    const auto found = metrics.find(name);
+    return found == std::string::npos ? "" : metrics.substr(found, metrics.find('\n', found) - found);
+}
+
+/// Sends reads until the process knows the response times and its retry budget is full. The slowest of these
+/// reads get second attempts, after which the budget must be filled again.
 void teach(sidecar_fleet& fleet)
 {
-    for (int i = 0; i < learning_requests; ++i) {
+    std::string begun;
+    int since_last = 0;
+    for (int i = 0; i < learning_requests || since_last < refill_requests; ++i) {
         BOOST_REQUIRE(fleet.call(0, read_request("learn-" + std::to_string(i))).status == 200);
+        const std::string now_begun = begun_second_attempts(fleet);
+        since_last = now_begun == begun ? since_last + 1 : 0;
+        begun = now_begun;
     }
 }
 
