Keep the fields by which callers check a response whatever Connection lists

Seen in a new test: a target whose response listed X-Response-Signature in Connection had the field removed by the sidecar, and the caller got an answer without a signature (4 of 8 exchanges, through one and two sidecars).

Cause: fields that Connection lists are removed as hop-by-hop ones, after the response was checked. A sender must not list fields that are meant for the receiver (RFC 9110, 7.6.1), but a faulty one does.

The request id, the instance, the mark of a request that did not run and the signature are now kept; other listed fields are removed as before.

--- a/src/pomeloloft/sidecar/outbound_router.cpp
+++ b/src/pomeloloft/sidecar/outbound_router.cpp
@@ -42,6 +42,24 @@
     }
 }
 
+/// Removes hop-by-hop headers of a target's response. The headers by which the caller checks the response are
+/// kept, even if the target lists them in `Connection`.
+void erase_hop_by_hop_headers(net::response& message, const header_names& names)
+{
+    std::vector<std::pair<std::string, std::string>> kept;
+    for (const std::string& name : {names.request_id, names.instance, names.not_executed, names.signature}) {
+        if (const auto found = message.find(name); found != message.end()) {
+            kept.emplace_back(name, found->value());
+        }
+    }
+    erase_hop_by_hop_headers(message);
+    for (const auto& [name, value] : kept) {
+        if (message.find(name) == message.end()) {
+            message.set(name, value);
+        }
+    }
+}
+
 void erase_peer_headers(net::request& received)
 {
     std::vector<std::string> internal;
@@ -272,7 +290,7 @@
     retry_budget_of(this->shared, context.service).deposit();
     this->shared.link.record(received.body().size(), context.started);
     net::response out = co_await this->send_with_retries(received, context);
-    erase_hop_by_hop_headers(out);
+    erase_hop_by_hop_headers(out, names);
     out.prepare_payload();
     this->shared.link.record(out.body().size(), steady_clock::now());
     co_return out;
--- a/test/integration/broken_responses.hpp
+++ b/test/integration/broken_responses.hpp
@@ -48,6 +48,16 @@
     {"bytes behind the last chunk", chunked + "4\r\nbody\r\n0\r\nX Y: z\r\n\r\n"},
 };
 
+/// Valid responses that name fields for the receiver as fields of the connection.
+inline const response_row listed_field_rows[] = {
+    {"the id", ok_line + fields + "Connection: X-Request-Id\r\n" + length + "\r\nbody"},
+    {"the signature", ok_line + fields + "Connection: X-Response-Signature\r\n" + length + "\r\nbody"},
+    {"the length", ok_line + fields + "Connection: Content-Length\r\n" + length + "\r\nbody"},
+    {"several, in another case", ok_line + fields +
+                                     "Connection: keep-alive, x-request-id, X-RESPONSE-SIGNATURE\r\n" +
+                                     length + "\r\nbody"},
+};
+
 /// A response that does not end.
 struct endless_row : named_row {
     std::string bytes;
--- a/test/integration/broken_responses_test.cpp
+++ b/test/integration/broken_responses_test.cpp
@@ -53,6 +53,23 @@
                std::string::npos);
 }
 
+BOOST_DATA_TEST_CASE(fields_that_callers_need_are_passed_on_whatever_connection_lists,
+                     boost::unit_test::data::make(listed_field_rows), row)
+{
+    // Through the target's own sidecar, and through another one.
+    sidecar_fleet fleet({"register", "gallery"});
+    fleet.nodes[0].target->mode = target_mode::sends_raw_response;
+    fleet.nodes[0].target->raw_response = row.bytes;
+    for (std::size_t entry = 0; entry < 2; ++entry) {
+        const std::string id = "r" + std::to_string(entry);
+        const caller_response read = fleet.call(entry, read_request(id));
+        BOOST_TEST(read.status == 200);
+        BOOST_TEST(read.body == "body");
+        BOOST_TEST(read.header("X-Request-Id") == id);
+        BOOST_TEST(read.header("X-Response-Signature") == "signed");
+    }
+}
+
 // Guards against a reset that only the write of the request reports.
 BOOST_DATA_TEST_CASE(a_response_that_a_reset_cuts_off_during_an_upload_is_no_answer,
                      boost::unit_test::data::make(cut_rows), row)
--- a/test/integration/sidecar_fleet.cpp
+++ b/test/integration/sidecar_fleet.cpp
@@ -52,6 +52,7 @@
             ended.end == net::exchange_end::answered ? static_cast<int>(ended.response.result_int()) : 0;
         out->body = ended.response.body();
         out->retry_after = std::string(ended.response[net::http::field::retry_after]);
+        out->head = ended.response.base();
     }
     out->elapsed = std::chrono::duration_cast<milliseconds>(steady_clock::now() - started);
     *done = true;
--- a/test/integration/sidecar_fleet.hpp
+++ b/test/integration/sidecar_fleet.hpp
@@ -38,6 +38,11 @@
     std::string body;
     std::string retry_after;
     milliseconds elapsed{0};
+    /// The head of the response.
+    net::http::response_header<> head;
+
+    /// Value of a header; empty if the response has none of that name.
+    [[nodiscard]] std::string header(const std::string& name) const { return this->head[name]; }
 };
 
 /// One sidecar process and its target.
