--- a/src/pomeloloft/cli/operator_client.cpp
+++ b/src/pomeloloft/cli/operator_client.cpp
@@ -9,8 +9,10 @@
 namespace pomeloloft {
 namespace {
 
+/// For a whole answer. A proxy answers a patch, its slowest request, within 10 s: 2 s for the log and 8 s for
+/// the outcome; the rest is for the transfer.
 constexpr milliseconds response_timeout{30'000};
-/// Bytes that an answer may have.
+/// Bytes that an answer may have. A document, for one, has 4 MB at most.
 constexpr std::size_t max_answer_bytes = 64U << 20U;
 
 } // namespace
--- a/src/pomeloloft/net/client_pool_test.cpp
+++ b/src/pomeloloft/net/client_pool_test.cpp
@@ -24,6 +24,7 @@
     {"closes its side", [](tcp::socket& remote) { remote.shutdown(tcp::socket::shutdown_send); }, false},
 };
 
+/// Ends a test whose loopback connection cannot be opened.
 constexpr milliseconds connect_limit{2000};
 /// For bytes to arrive over the loopback interface.
 constexpr milliseconds arrival_time{50};
--- a/src/pomeloloft/sidecar/outbound_router.cpp
+++ b/src/pomeloloft/sidecar/outbound_router.cpp
@@ -43,7 +43,7 @@
 }
 
 /// Removes hop-by-hop headers of a target's response. The headers by which the caller checks the response are
-/// kept, even if the target lists them in `Connection`.
+/// kept, even if the target lists them in `Connection`: without its signature, a response is not valid.
 void erase_hop_by_hop_headers(net::response& message, const header_names& names)
 {
     std::vector<std::pair<std::string, std::string>> kept;
