--- a/review/common-2/deployment.hpp
+++ b/review/common-2/deployment.hpp
@@ -18,7 +18,9 @@
     std::string service;
 };
 
-inline std::string configuration(int version, const std::vector<route_entry>& routes)
+/// @param further fields behind the others, each with a comma before it.
+inline std::string configuration(int version, const std::vector<route_entry>& routes,
+                                 const std::string& further = {})
 {
     std::string list;
     for (const route_entry& r : routes) {
@@ -32,7 +34,8 @@
            "],\"Services\":[{\"Name\":\"booking\",\"HealthPath\":\"/health\",\"MaxConnections\":110},"
            "{\"Name\":\"gallery\",\"HealthPath\":\"/health\",\"MaxConnections\":110}],"
            "\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":67108864,\"HeaderTimeoutMs\":3000,"
-           "\"IdleTimeoutMs\":15000}}";
+           "\"IdleTimeoutMs\":15000}" +
+           further + "}";
 }
 
 /// A run of a request at a backend.
@@ -43,6 +46,8 @@
     std::string instance;
     std::string path;
     std::string caller;
+    std::string authorization;
+    std::string tenant;
 };
 
 class deployment {
@@ -149,20 +154,24 @@
 
     /// Sends a request to a machine.
     /// @return status and body, or `no answer`.
-    std::string ask(const machine& at, const std::string& method, const std::string& path, bool log = true)
+    std::string ask(const machine& at, const std::string& method, const std::string& path,
+                    const std::string& key = {})
     {
         const std::string id = "r" + std::to_string(++this->sent);
         message request{method + " " + path + " HTTP/1.1",
                         {{"Host", request_host}, {"X-Request-Id", id}, {"X-Deadline-Ms", "4000"}},
                         {}};
+        if (!key.empty()) {
+            const std::lock_guard lock(this->mutex);
+            this->keys[id] = key;
+            request.headers.emplace_back("Authorization", "Token " + key);
+        }
         const std::int64_t begin = now_ms();
         const auto answer = call(at.outbound, request, 4500);
         const std::string seen =
             !answer ? "no answer" : std::to_string(answer->status()) + " " + answer->body;
-        if (log) {
-            this->record.line(id + ", sent at " + std::to_string(begin) + " ms to " + at.name + ", " +
-                              method + " " + path + ": " + seen);
-        }
+        this->record.line(id + ", sent at " + std::to_string(begin) + " ms to " + at.name + ", " + method +
+                          " " + path + (key.empty() ? "" : ", key " + key) + ": " + seen);
         return seen;
     }
 
@@ -172,8 +181,12 @@
         return this->run_list;
     }
 
-    /// Handles what a backend receives before its own work; may be empty.
-    std::function<void(const machine&, const message&)> before_run;
+    /// The key that a request was sent with; empty for none.
+    [[nodiscard]] std::string key_of(const std::string& request)
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->keys[request];
+    }
 
     /// Fields of the settings that differ from those of the small site.
     std::map<std::string, std::string> bounds;
@@ -189,13 +202,13 @@
         const std::string service = at.service;
         const std::string instance = at.instance;
         at.backend = std::make_unique<http_server>(
-            [this, &at, service, instance](connection& client, const message& request) {
-                return this->serve(client, request, at, service, instance);
+            [this, service, instance](connection& client, const message& request) {
+                return this->serve(client, request, service, instance);
             },
             port);
     }
 
-    bool serve(connection& client, const message& request, const machine& at, const std::string& service,
+    bool serve(connection& client, const message& request, const std::string& service,
                const std::string& instance)
     {
         if (request.path() == "/health") {
@@ -212,13 +225,11 @@
         const std::string id = request.header("X-Request-Id");
         {
             const std::lock_guard lock(this->mutex);
-            this->run_list.push_back(
-                {now_ms(), id, service, instance, request.path(), request.header("X-Caller-Service")});
+            this->run_list.push_back({now_ms(), id, service, instance, request.path(),
+                                      request.header("X-Caller-Service"), request.header("Authorization"),
+                                      request.header("X-Tenant-Id")});
         }
         this->record.line(id + " runs at " + instance + " of " + service + ", path " + request.path());
-        if (this->before_run) {
-            this->before_run(at, request);
-        }
         constexpr std::int64_t work_ms = 20;
         sleep_ms(work_ms);
         message out = response(200, "ran at " + service);
@@ -254,6 +265,8 @@
 
     std::mutex mutex;
     std::vector<run_entry> run_list;
+    /// Keys by request.
+    std::map<std::string, std::string> keys;
     std::vector<std::unique_ptr<http_server>> retired;
     std::atomic<int> sent{0};
 };
