--- a/review/common-2/deployment.hpp
+++ b/review/common-2/deployment.hpp
@@ -188,6 +188,8 @@
         return this->keys[request];
     }
 
+    /// How long a run takes.
+    std::atomic<std::int64_t> work_ms{20};
     /// Fields of the settings that differ from those of the small site.
     std::map<std::string, std::string> bounds;
     recorder record;
@@ -230,8 +232,7 @@
                                       request.header("X-Tenant-Id")});
         }
         this->record.line(id + " runs at " + instance + " of " + service + ", path " + request.path());
-        constexpr std::int64_t work_ms = 20;
-        sleep_ms(work_ms);
+        sleep_ms(this->work_ms);
         message out = response(200, "ran at " + service);
         out.headers = {{"X-Request-Id", id}, {"X-Response-Signature", "signed"}};
         return client.send(out.text());
