--- a/review/common-2/deployment.hpp
+++ b/review/common-2/deployment.hpp
@@ -80,8 +80,8 @@
         added.service = service;
         added.instance = "i-" + name;
         this->start_backend(added, 0);
-        added.process =
-            std::make_unique<sidecar>(this->folder, this->settings_of(added, this->platform.server.port));
+        added.process = std::make_unique<sidecar>(
+            this->folder, this->settings_of(added, this->platform.add_door(name).port));
         added.process->start();
         std::thread([this, &added] { this->send_heartbeats(added); }).detach();
         return added;
