--- a/review/9/hot_page.cpp
+++ b/review/6/hot_page.cpp
@@ -23,7 +23,7 @@
 
 int run()
 {
-    deployment& d = *new deployment("review/9/record.txt");
+    deployment& d = *new deployment("review/6/record.txt");
     d.work_ms = 200;
     std::vector<route_entry> routes = {{"/trips/", "idempotent", "booking"},
                                        {"/photos/", "idempotent", "gallery"}};
--- a/review/8/no_tenants.cpp
+++ b/review/7/no_tenants.cpp
@@ -17,7 +17,7 @@
 
 int run()
 {
-    deployment& d = *new deployment("review/8/record.txt");
+    deployment& d = *new deployment("review/7/record.txt");
     const std::string held = "3nr26tta828m82thhkmg";
     const std::string never_held = "jqnirth5mgjy5rcpihha";
     const std::string tenant = "{\"Name\":\"bozi300\",\"ApiKeys\":[\"" + held + "\"],\"Priority\":1}";
--- a/review/10/late_probers.cpp
+++ b/review/9/late_probers.cpp
@@ -19,7 +19,7 @@
 
 int run()
 {
-    deployment& d = *new deployment("review/10/record.txt");
+    deployment& d = *new deployment("review/9/record.txt");
     std::atomic<bool> out{false};
     std::atomic<bool> cut{false};
     const std::string uncut = "sidecar-a-3";
