--- a/review/common-2/deployment.hpp
+++ b/review/common-2/deployment.hpp
@@ -8,7 +8,6 @@
 constexpr std::int64_t heartbeat_ms = 870;
 constexpr std::int64_t stable_window_ms = 3000;
 constexpr std::int64_t config_apply_ms = 2000;
-constexpr std::int64_t drain_ms = 2000;
 const std::string request_host = "outings.example";
 
 /// One route of a configuration.
@@ -45,9 +44,7 @@
     std::string service;
     std::string instance;
     std::string path;
-    std::string caller;
     std::string authorization;
-    std::string tenant;
 };
 
 class deployment {
@@ -227,9 +224,8 @@
         const std::string id = request.header("X-Request-Id");
         {
             const std::lock_guard lock(this->mutex);
-            this->run_list.push_back({now_ms(), id, service, instance, request.path(),
-                                      request.header("X-Caller-Service"), request.header("Authorization"),
-                                      request.header("X-Tenant-Id")});
+            this->run_list.push_back(
+                {now_ms(), id, service, instance, request.path(), request.header("Authorization")});
         }
         this->record.line(id + " runs at " + instance + " of " + service + ", path " + request.path());
         sleep_ms(this->work_ms);
--- a/review/common-2/harness.hpp
+++ b/review/common-2/harness.hpp
@@ -173,13 +173,6 @@
         return true;
     }
 
-    /// Closes with a reset instead of a normal end.
-    void reset_on_close() const
-    {
-        const linger now{1, 0};
-        ::setsockopt(this->fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
-    }
-
     /// Waits until the remote has closed the connection or `until` has passed.
     /// @return whether it has closed.
     bool wait_for_close(std::int64_t until)
@@ -417,13 +410,7 @@
         silent,
     };
 
-    store()
-        : server([this](connection& client, const message& request) {
-              return this->serve(client, request, std::string{});
-          })
-    {}
-
-    /// Another address of the store, at which calls of one machine arrive.
+    /// Opens an address of the store, at which the calls of one machine arrive.
     http_server& add_door(const std::string& machine)
     {
         this->doors.push_back(
@@ -443,7 +430,6 @@
 
     /// Decides on the calls of a machine; may be empty.
     std::function<fate(const std::string& machine)> decide;
-    http_server server;
 
 private:
     struct record {
@@ -671,12 +657,6 @@
         return this->pid > 0;
     }
 
-    [[nodiscard]] std::string log() const
-    {
-        std::ifstream file(this->directory + "/" + this->name + ".log");
-        return {std::istreambuf_iterator<char>(file), {}};
-    }
-
     std::string name;
     pid_t pid = -1;
 
