--- a/review/6/hot_page.cpp
+++ b/review/6/hot_page.cpp
@@ -21,7 +21,8 @@
     }
 };
 
-int run()
+/// @param trouble false if nothing is to be disturbed (TROUBLE=0).
+int run(bool trouble)
 {
     deployment& d = *new deployment("review/6/record.txt");
     d.work_ms = 200;
@@ -65,7 +66,7 @@
     traffic(first_routes, 200, [&] { return "/trips/" + std::to_string(++number); });
     traffic(first_routes, 200, [&] { return "/photos/" + std::to_string(++number); });
     sleep_ms(4000);
-    if (trouble_enabled()) {
+    if (trouble) {
         for (machine* m : crashing) {
             d.crash_backend(*m);
         }
@@ -90,7 +91,8 @@
 
 } // namespace
 
-int main()
+int main(int argc, char** argv)
 {
-    return review::run_case(run);
+    const bool trouble = review::trouble_wanted(argc, argv);
+    return review::run_case([trouble] { return run(trouble); });
 }
--- a/review/7/no_tenants.cpp
+++ b/review/7/no_tenants.cpp
@@ -15,7 +15,8 @@
                          ",\"Tenants\":[" + tenants + "]");
 }
 
-int run()
+/// @param trouble false if nothing is to be disturbed (TROUBLE=0).
+int run(bool trouble)
 {
     deployment& d = *new deployment("review/7/record.txt");
     const std::string held = "3nr26tta828m82thhkmg";
@@ -36,7 +37,6 @@
         d.finish();
         return 2;
     }
-    const bool trouble = trouble_enabled();
     d.platform.put("keyed.op", "config", version_with(2, trouble ? "" : tenant));
     d.record.line(std::string("the store acknowledges version 2, which holds ") +
                   (trouble ? "no key: \"Tenants\":[]" : "the same key"));
@@ -69,7 +69,8 @@
 
 } // namespace
 
-int main()
+int main(int argc, char** argv)
 {
-    return review::run_case(run);
+    const bool trouble = review::trouble_wanted(argc, argv);
+    return review::run_case([trouble] { return run(trouble); });
 }
--- a/review/8/clock_back.cpp
+++ b/review/8/clock_back.cpp
@@ -14,7 +14,8 @@
 constexpr std::int64_t serve_on_ms =
     6000; // how long the leaving backend serves on after its report is acknowledged
 
-int run()
+/// @param trouble false if nothing is to be disturbed (TROUBLE=0).
+int run(bool trouble)
 {
     deployment& d = *new deployment("review/8/record.txt");
     d.platform.put("keyed.op", "config", configuration(1, {{"/trips/", "idempotent", "booking"}}));
@@ -30,7 +31,7 @@
         d.finish();
         return 2;
     }
-    if (trouble_enabled()) {
+    if (trouble) {
         const std::int64_t begin = now_ms();
         d.record.line("the time of day of the second machine jumps ahead by 2000 ms");
         for (std::int64_t at = 0; at < flap_ms; at += period_ms) {
@@ -72,7 +73,8 @@
 
 } // namespace
 
-int main()
+int main(int argc, char** argv)
 {
-    return review::run_case(run);
+    const bool trouble = review::trouble_wanted(argc, argv);
+    return review::run_case([trouble] { return run(trouble); });
 }
--- a/review/9/late_probers.cpp
+++ b/review/9/late_probers.cpp
@@ -17,7 +17,8 @@
     return configuration(version, {{"/trips/", "idempotent", version % 2 == 1 ? "booking" : "gallery"}});
 }
 
-int run()
+/// @param trouble false if nothing is to be disturbed (TROUBLE=0).
+int run(bool trouble)
 {
     deployment& d = *new deployment("review/9/record.txt");
     std::atomic<bool> out{false};
@@ -39,7 +40,6 @@
         d.finish();
         return 2;
     }
-    const bool trouble = trouble_enabled();
     int late = 0;
     int rounds = 0;
     while (now_ms() < end_ms) {
@@ -75,7 +75,8 @@
 
 } // namespace
 
-int main()
+int main(int argc, char** argv)
 {
-    return review::run_case(run);
+    const bool trouble = review::trouble_wanted(argc, argv);
+    return review::run_case([trouble] { return run(trouble); });
 }
--- a/review/common-2/harness.hpp
+++ b/review/common-2/harness.hpp
@@ -739,10 +739,10 @@
     return name;
 }
 
-inline bool trouble_enabled()
+/// Whether the disruption is to be brought about; `run.sh` passes TROUBLE on as the only argument.
+inline bool trouble_wanted(int argc, char** argv)
 {
-    const char* text = std::getenv("TROUBLE");
-    return text == nullptr || std::string(text) != "0";
+    return argc < 2 || std::string(argv[1]) != "0";
 }
 
 /// Runs a case. Exit codes: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
