Review: a lowered limit doesn't bind where the tenant's holders have left (QUOTA, script)

Disruption: three of seven machines are removed one after the other by planned work, then the limits of twelve tenants are lowered from 100 to 5 requests a second.

--- a/review/common-3/fleet.cpp
+++ b/review/common-3/fleet.cpp
@@ -106,7 +106,7 @@
     return set == nullptr || std::string(set) != "0";
 }
 
-std::string configuration()
+std::string configuration(int version, const std::vector<tenant>& tenants)
 {
     const auto route = [](const char* name, const char* prefix, const char* type, const char* service) {
         return json{{"Name", name},      {"Host", "shop.example"}, {"PathPrefix", prefix},
@@ -117,16 +117,23 @@
     for (const char* name : {"register", "geometry"}) {
         services.push_back({{"Name", name}, {"HealthPath", "/health"}, {"MaxConnections", 130}});
     }
-    const json out{{"Version", 1},
-                   {"Routes", json::array({route("r-lookup", "/lookup/", "idempotent", "register"),
-                                           route("r-order", "/order/", "non_idempotent", "register"),
-                                           route("r-avail", "/avail/", "idempotent", "geometry")})},
-                   {"Services", services},
-                   {"Limits",
-                    {{"MaxHeaderBytes", 16384},
-                     {"MaxBodyBytes", 67108864},
-                     {"HeaderTimeoutMs", 3000},
-                     {"IdleTimeoutMs", 15000}}}};
+    json out{{"Version", version},
+             {"Routes", json::array({route("r-lookup", "/lookup/", "idempotent", "register"),
+                                     route("r-order", "/order/", "non_idempotent", "register"),
+                                     route("r-avail", "/avail/", "idempotent", "geometry")})},
+             {"Services", services},
+             {"Limits",
+              {{"MaxHeaderBytes", 16384},
+               {"MaxBodyBytes", 67108864},
+               {"HeaderTimeoutMs", 3000},
+               {"IdleTimeoutMs", 15000}}}};
+    for (const tenant& each : tenants) {
+        out["Tenants"].push_back({{"Name", each.name},
+                                  {"ApiKeys", json::array({each.key})},
+                                  {"Priority", 1},
+                                  {"RatePerS", each.rate_per_s},
+                                  {"Burst", each.burst}});
+    }
     return out.dump();
 }
 
@@ -448,17 +455,50 @@
 }
 
 message fleet::request(std::size_t index, const std::string& method, const std::string& path,
-                       const std::string& id, int deadline_ms)
+                       const std::string& id, int deadline_ms, const header_list& further)
 {
+    header_list headers{
+        {"Host", "shop.example"}, {"X-Request-Id", id}, {"X-Deadline-Ms", std::to_string(deadline_ms)}};
+    headers.insert(headers.end(), further.begin(), further.end());
     const message out =
-        call(this->nodes[index].outbound.number, method, path,
-             {{"Host", "shop.example"}, {"X-Request-Id", id}, {"X-Deadline-Ms", std::to_string(deadline_ms)}},
-             {}, deadline_ms + 200);
+        call(this->nodes[index].outbound.number, method, path, headers, {}, deadline_ms + 200);
     this->events.add("client " + id + ' ' + method + ' ' + path + " sent to " + this->nodes[index].name +
                      " -> " + std::to_string(out.status));
     return out;
 }
 
+void fleet::configure(const std::string& config)
+{
+    this->store.put("keyed.op", "config", config);
+    this->events.add("the operator writes " + config);
+}
+
+bool fleet::remove(std::size_t index)
+{
+    node& leaving = this->nodes[index];
+    this->beating[index] = false;
+    leaving.target->leaving = true;
+    if (this->heartbeat(index, "draining") != 200) {
+        return false;
+    }
+    sleep_ms(std::atoi(this->options.drain_ms.c_str()) + 200);
+    this->post_control(index, leaving.target->instance(), "deregister",
+                       leaving.target->deregistration_body());
+    leaving.target->stop();
+    this->events.add(leaving.name + " gets SIGTERM");
+    ::kill(leaving.process, SIGTERM);
+    constexpr int grace_ms = 6000;
+    for (int waited = 0; waited < grace_ms; waited += 50) {
+        if (::waitpid(leaving.process, nullptr, WNOHANG) == leaving.process) {
+            leaving.process = -1;
+            this->events.add(leaving.name + " has ended");
+            return true;
+        }
+        sleep_ms(50);
+    }
+    return false;
+}
+
 void fleet::start_clients(const std::vector<std::string>& paths, int pause_ms)
 {
     for (std::size_t i = 0; i < this->nodes.size(); ++i) {
--- a/review/common-3/fleet.hpp
+++ b/review/common-3/fleet.hpp
@@ -160,7 +160,15 @@
 
     /// Sends a client's request at a node and records it.
     message request(std::size_t index, const std::string& method, const std::string& path,
-                    const std::string& id, int deadline_ms);
+                    const std::string& id, int deadline_ms, const header_list& further = {});
+
+    /// Writes a configuration as the operator does; it is acknowledged on return.
+    void configure(const std::string& config);
+
+    /// Removes a machine as planned work does: its target drains, deregisters and exits, then its sidecar
+    /// gets SIGTERM and `GraceS` to end.
+    /// @return whether the drain was acknowledged and the sidecar ended by itself.
+    [[nodiscard]] bool remove(std::size_t index);
 
     /// Starts clients that send requests at all nodes until the fleet ends.
     void start_clients(const std::vector<std::string>& paths, int pause_ms);
@@ -184,9 +192,17 @@
     std::vector<std::thread> clients;
 };
 
+/// A tenant of a configuration.
+struct tenant {
+    std::string name;
+    std::string key;
+    int rate_per_s = 0;
+    int burst = 0;
+};
+
 /// The configuration of the cases: the service `register` at `/lookup/` (idempotent) and `/order/` (not),
 /// and `geometry` at `/avail/` (idempotent).
-[[nodiscard]] std::string configuration();
+[[nodiscard]] std::string configuration(int version = 1, const std::vector<tenant>& tenants = {});
 
 /// Unix time in milliseconds.
 [[nodiscard]] std::int64_t unix_ms();
