A failing target no longer clears a request that crashes the others

Callers saw the targets of a service end one after the other: while one of them answered everything with 500, the request that ended the rest was never refused.

Cause: any answer counted as a sign that the request is harmless, whatever its status, at the target's sidecar and at the one where the request began.

Only a success is evidence for a request now (shows_survival, read by both fronts).

--- a/include/pomeloloft/sidecar/gate.hpp
+++ b/include/pomeloloft/sidecar/gate.hpp
@@ -119,7 +119,7 @@
     /// Counts a withheld request.
     /// @return its outcome.
     attempt_outcome withhold(dispatch_verdict verdict);
-    void record_response(const net::request& sent, const std::string& route, time_point started);
+    void record_response(const std::string& route, time_point started);
     void update_failure_ratios(const target_call_result& call_result);
     [[nodiscard]] target_call_result classify_exchange(const net::request& sent,
                                                        net::exchange_result completed, bool reused) const;
@@ -131,7 +131,8 @@
     /// @return what identifies the crash; empty if none is known.
     net::task<std::string> find_crash(std::uint64_t fingerprint, time_point started, bool timed_out);
     std::string record_crash(std::uint64_t fingerprint, time_point now);
-    void clear_suspect(const net::request& answered, time_point now);
+    /// Clears a suspect if the target's response to it is a success.
+    void record_status(const net::request& answered, int status, time_point now);
 
     net::event_loop& loop;
     const settings& local_settings;
--- a/include/pomeloloft/sidecar/suspects.hpp
+++ b/include/pomeloloft/sidecar/suspects.hpp
@@ -126,6 +126,11 @@
     std::unordered_map<std::uint64_t, time_point> cleared;
 };
 
+/// Clears a request if a target's response shows that it does not crash targets.
+/// @param status HTTP status of the response.
+/// @return whether the request was a suspect until now.
+bool clear_by_response(crash_suspects& suspects, std::uint64_t fingerprint, int status, time_point now);
+
 /// What identifies a request to a target, apart from its id.
 struct request_identity {
     /// Service on whose VM the request originated.
--- a/src/pomeloloft/proxy/serve_target.cpp
+++ b/src/pomeloloft/proxy/serve_target.cpp
@@ -5,6 +5,7 @@
 #include "pomeloloft/proxy/exchange.hpp"
 #include "pomeloloft/proxy/serve.hpp"
 #include "pomeloloft/proxy/target_probe.hpp"
+#include "pomeloloft/traffic/crash_evidence.hpp"
 
 namespace pomeloloft {
 namespace {
@@ -157,7 +158,7 @@
                  board.current_view.load()->config->version);
     if (relay_body(ex, board.target_connections, target.address, writer) == relay_outcome::truncated) {
         ++board.requests.responses_truncated;
-    } else {
+    } else if (shows_survival(static_cast<int>(ex.response.getStatus()))) {
         board.recent_successes.add(fingerprint_of(head, body), steady_clock::now());
     }
     return {run_state::ran, refusal_reason::target_lost, true};
--- a/src/pomeloloft/sidecar/gate.cpp
+++ b/src/pomeloloft/sidecar/gate.cpp
@@ -348,7 +348,7 @@
     return attempt_outcome::unavailable;
 }
 
-void target_gate::record_response(const net::request& sent, const std::string& route, time_point started)
+void target_gate::record_response(const std::string& route, time_point started)
 {
     const time_point now = steady_clock::now();
     this->last_response_at = now;
@@ -362,7 +362,6 @@
         this->route_times[route].add(run_time);
     }
     this->set_reachable(true);
-    this->clear_suspect(sent, now);
 }
 
 net::task<target_call_result> target_gate::send(net::request& sent, const target_call& call)
@@ -427,7 +426,8 @@
         this->failed_ids.add(id_hash, steady_clock::now());
     }
     if (out.outcome == attempt_outcome::answered) {
-        this->record_response(sent, call.route, started);
+        this->record_response(call.route, started);
+        this->record_status(sent, static_cast<int>(out.response.result_int()), steady_clock::now());
     } else if (unexplained) {
         // A target that accepts a connection and ends it without a byte counts as crashed even if it still
         // runs; on a reused connection it may only have closed an idle connection.
--- a/src/pomeloloft/sidecar/gate_crashes.cpp
+++ b/src/pomeloloft/sidecar/gate_crashes.cpp
@@ -124,13 +124,13 @@
     this->handle_target_change();
 }
 
-void target_gate::clear_suspect(const net::request& answered, time_point now)
+void target_gate::record_status(const net::request& answered, int status, time_point now)
 {
     if (this->suspects.empty()) {
         return;
     }
     const std::uint64_t request = fingerprint_of(answered, this->local_settings.headers);
-    if (!this->suspects.clear(request, now)) {
+    if (!clear_by_response(this->suspects, request, status, now)) {
         return;
     }
     ++this->counters.suspects_cleared;
--- a/src/pomeloloft/sidecar/outbound_router.cpp
+++ b/src/pomeloloft/sidecar/outbound_router.cpp
@@ -168,7 +168,9 @@
         this->shared.suspects.add(
             {fingerprint_of(received, this->shared.local_settings.headers), call_result.crash}, now);
     } else if (call_result.outcome == attempt_outcome::answered && !this->shared.suspects.empty()) {
-        this->shared.suspects.clear(fingerprint_of(received, this->shared.local_settings.headers), now);
+        clear_by_response(this->shared.suspects,
+                          fingerprint_of(received, this->shared.local_settings.headers),
+                          static_cast<int>(call_result.response.result_int()), now);
     }
 }
 
--- a/src/pomeloloft/sidecar/suspects.cpp
+++ b/src/pomeloloft/sidecar/suspects.cpp
@@ -5,6 +5,7 @@
 #include <tuple>
 
 #include "pomeloloft/base/hash.hpp"
+#include "pomeloloft/traffic/crash_evidence.hpp"
 
 namespace pomeloloft::sidecar {
 
@@ -147,6 +148,11 @@
     std::erase_if(this->cleared, [now](const auto& entry) { return entry.second <= now; });
 }
 
+bool clear_by_response(crash_suspects& suspects, std::uint64_t fingerprint, int status, time_point now)
+{
+    return shows_survival(status) && suspects.clear(fingerprint, now);
+}
+
 std::uint64_t fingerprint_of(const request_identity& request)
 {
     std::uint64_t out = hash_bytes(request.caller_service);
--- a/test/integration/crashing_requests_test.cpp
+++ b/test/integration/crashing_requests_test.cpp
@@ -1,5 +1,6 @@
 #define BOOST_TEST_MODULE crashing_requests
 #include <algorithm>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -175,6 +176,37 @@
     BOOST_TEST(fleet.call(crashing_node, request_for(crashing_path, "last")).status == 503);
 }
 
+// Guards against a target that fails all requests and thereby clears the one that crashes the others.
+BOOST_AUTO_TEST_CASE(a_crashing_request_is_refused_although_a_failing_target_answers_it)
+{
+    sidecar_fleet fleet(4);
+    platform_target& failing = *fleet.nodes[3].target;
+    failing.mode = target_mode::responds_500;
+    for (std::size_t node = 0; node < 3; ++node) {
+        fleet.nodes[node].target->crash_path = crashing_path;
+        fleet.nodes[node].target->downtime = milliseconds(500);
+    }
+    int round = 0;
+    const auto send_rounds = [&](const std::function<bool()>& is_done, milliseconds limit) {
+        const time_point until = steady_clock::now() + limit;
+        while (!is_done() && steady_clock::now() < until) {
+            const std::size_t node = static_cast<std::size_t>(round) % fleet.nodes.size();
+            fleet.call(node, request_for(crashing_path, "c" + std::to_string(round++)));
+            fleet.run_for(milliseconds(100));
+        }
+    };
+    send_rounds([&] { return crashes(fleet) >= 3 && failing.arrivals(crashing_path) > 0; },
+                milliseconds(20'000));
+    BOOST_REQUIRE(crashes(fleet) >= 3);
+    BOOST_REQUIRE(failing.arrivals(crashing_path) > 0);
+    const auto never = [] { return false; };
+    send_rounds(never, stable_window);
+    const int arrivals_in_window = arrivals(fleet);
+    send_rounds(never, milliseconds(5000));
+    BOOST_TEST(arrivals(fleet) - arrivals_in_window <= max_late_arrivals);
+    BOOST_TEST(fleet.call(0, request_for(crashing_path, "last")).status == 503);
+}
+
 // Guards against a crash that is taken for the one before, because nothing was sent to the restarted target
 // in between.
 BOOST_AUTO_TEST_CASE(the_first_request_after_a_restart_of_its_target_counts_as_another_crash)
