--- a/include/pomeloloft/sidecar/departure_record.hpp
+++ b/include/pomeloloft/sidecar/departure_record.hpp
@@ -7,6 +7,9 @@
 
 namespace pomeloloft::sidecar {
 
+/// Key of the record of a node in the platform's store.
+[[nodiscard]] std::string departure_key(const std::string& node);
+
 /// Encodes the start of a target that has left as JSON, for the platform's store.
 [[nodiscard]] std::string encode_departure(const instance_key& departure);
 
--- /dev/null
+++ b/src/pomeloloft/sidecar/daemon_target.cpp
@@ -0,0 +1,134 @@
+#include <algorithm>
+#include <utility>
+
+#include "pomeloloft/base/log_line.hpp"
+#include "pomeloloft/net/timer.hpp"
+#include "pomeloloft/sidecar/daemon.hpp"
+#include "pomeloloft/sidecar/departure_record.hpp"
+
+namespace pomeloloft::sidecar {
+namespace {
+
+/// The platform requires a target's report to be acknowledged within a second.
+constexpr milliseconds persist_departure_timeout{700};
+constexpr milliseconds discovery_interval{300};
+constexpr milliseconds reconnect_interval{300};
+/// New requests are stopped this long before the end of the drain period, so that requests already on their
+/// way still reach the target in time.
+constexpr milliseconds drain_margin{400};
+/// Slots assumed for a target found by its health check, until its first report.
+constexpr std::uint32_t discovered_target_slots = 4;
+constexpr milliseconds peer_poll_interval{5};
+
+} // namespace
+
+net::task<bool> sidecar_daemon::handle_report(target_report reported)
+{
+    const report_effect effect = apply_report(this->gate.target, reported, steady_clock::now());
+    if (effect == report_effect::started || effect == report_effect::leaving) {
+        log_info("target-report", {{"effect", name_of(report_effect_names, effect)},
+                                   {"instance", reported.instance.id},
+                                   {"sequence", reported.sequence}});
+    }
+    if (effect == report_effect::refreshed && this->shared.self.version != this->target_version()) {
+        this->publish();
+    }
+    if (effect == report_effect::started) {
+        this->gate.handle_target_start();
+        this->publish();
+    } else if (effect == report_effect::refreshed && !this->gate.reachable()) {
+        this->gate.handle_target_change();
+    } else if (effect == report_effect::leaving) {
+        this->begin_draining();
+    }
+    if (hides_shutdown(this->gate.target, reported)) {
+        log_warning("target-shutdown-ignored", {{"instance", reported.instance.id},
+                                                {"sequence", reported.sequence},
+                                                {"known", this->gate.target.sequence}});
+        co_return false;
+    }
+    if (this->gate.target.instance != reported.instance) {
+        co_return true;
+    }
+    co_return co_await this->persist_departure();
+}
+
+void sidecar_daemon::begin_draining()
+{
+    this->gate.target.dispatch_until =
+        steady_clock::now() + this->shared.local_settings.drain_period - drain_margin;
+    this->publish();
+}
+
+net::task<bool> sidecar_daemon::handle_deregistration(instance_key instance)
+{
+    const report_effect effect = apply_deregistration(this->gate.target, instance);
+    if (effect == report_effect::leaving) {
+        log_info("target-withdrawn", {{"instance", instance.id}});
+        this->begin_draining();
+    }
+    if (this->gate.target.instance.id != instance.id) {
+        co_return true;
+    }
+    co_return co_await this->persist_departure();
+}
+
+net::task<bool> sidecar_daemon::persist_departure()
+{
+    const instance_key leaving = this->gate.target.instance;
+    if (this->gate.target.state != target_state::leaving || this->persisted_departure == leaving) {
+        co_return true;
+    }
+    std::vector<store_record> records;
+    records.push_back({departure_key(this->shared.local_settings.node), encode_departure(leaving)});
+    const time_point deadline = steady_clock::now() + persist_departure_timeout;
+    const auto written = co_await this->store->put(std::move(records), deadline);
+    if (written) {
+        this->persisted_departure = leaving;
+        co_return true;
+    }
+    // A peer that holds this node's entry tells a restarted process of the departure.
+    while (!this->members.peer_knows_self() && steady_clock::now() < deadline) {
+        co_await net::sleep_for(peer_poll_interval);
+    }
+    const bool peers_know = this->members.peer_knows_self();
+    log_warning("departure-not-stored", {{"instance", leaving.id},
+                                         {"reason", to_string(written.error())},
+                                         {"peers_know", peers_know ? "yes" : "no"}});
+    co_return peers_know;
+}
+
+net::task<void> sidecar_daemon::discover_target()
+{
+    while (this->gate.target.state == target_state::unknown && !this->shared.stopping) {
+        co_await net::sleep_for(discovery_interval);
+        const auto table = routes_of(this->shared);
+        if (!table || !this->trusts_target_state() || this->gate.target.state != target_state::unknown) {
+            continue;
+        }
+        const auto service = table->services.find(this->shared.local_settings.service);
+        if (service == table->services.end() || service->second.health_path.empty()) {
+            continue;
+        }
+        const auto healthy = co_await this->gate.probe(service->second.health_path);
+        if (healthy && this->gate.target.state == target_state::unknown &&
+            apply_health_check(this->gate.target, healthy.value(), discovered_target_slots)) {
+            log_info("target-found", {{"instance", healthy.value()}});
+            this->publish();
+        }
+    }
+}
+
+net::task<void> sidecar_daemon::reconnect_target()
+{
+    while (!this->gate.reachable() && !this->shared.stopping) {
+        co_await net::sleep_for(reconnect_interval);
+        const bool connected = co_await this->gate.try_connect();
+        if (connected) {
+            this->gate.handle_target_change();
+        }
+    }
+    this->reconnecting = false;
+}
+
+} // namespace pomeloloft::sidecar
--- a/src/pomeloloft/sidecar/departure_record.cpp
+++ b/src/pomeloloft/sidecar/departure_record.cpp
@@ -6,6 +6,11 @@
 
 namespace pomeloloft::sidecar {
 
+std::string departure_key(const std::string& node)
+{
+    return "left/" + node;
+}
+
 std::string encode_departure(const instance_key& departure)
 {
     return to_json_text({{"instance", departure.id}, {"started_at_ms", departure.started_at_ms}});
