A target that deregisters before its first heartbeat stays gone

Callers saw orders cut off with 502: a target that had started after a crash and deregistered was acknowledged, got requests again from the whole fleet as soon as its late first heartbeat arrived, and exited a few seconds later.

Cause: the deregistration of any instance but the known one was stale, neither remembered nor stored, and answered with 200 all the same. The stored record held one departure only, that of the present target.

A deregistration is now acknowledged only if the departure is remembered and stored.

--- a/include/pomeloloft/sidecar/daemon.hpp
+++ b/include/pomeloloft/sidecar/daemon.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <memory>
 #include <vector>
 
@@ -56,7 +57,9 @@
     net::task<bool> register_self();
     net::task<void> discover_target();
     net::task<void> reconnect_target();
-    net::task<bool> persist_departure();
+    /// Writes the departures of the target to the store.
+    /// @return whether a restarted process will know them.
+    net::task<bool> persist_departures();
     void begin_draining();
     net::task<void> shut_down();
     void publish();
@@ -93,8 +96,9 @@
     std::shared_ptr<net::server> control;
     std::shared_ptr<net::server> ready;
     time_point started_at;
-    /// The departed instance recorded in the store, from which a restarted process reads it.
-    instance_key persisted_departure;
+    /// The departed instances recorded in the store, from which a restarted process reads them.
+    std::deque<instance_key> persisted_departures;
+    bool persisting_departures = false;
     /// The target that an earlier process of this node knew, and its version.
     instance_key earlier_instance;
     std::string earlier_version;
--- a/include/pomeloloft/sidecar/target.hpp
+++ b/include/pomeloloft/sidecar/target.hpp
@@ -94,7 +94,8 @@
 /// Such a report must not be acknowledged.
 [[nodiscard]] bool hides_shutdown(const target_record& target, const target_report& report);
 
-/// Applies the deregistration of an instance that did not drain first.
+/// Applies the deregistration of an instance that did not drain first. It may only be acknowledged if
+/// `has_departed` holds afterwards.
 /// @param instance `started_at_ms` is 0 when it was not reported.
 report_effect apply_deregistration(target_record& target, const instance_key& instance);
 
--- a/src/pomeloloft/sidecar/daemon.cpp
+++ b/src/pomeloloft/sidecar/daemon.cpp
@@ -227,10 +227,12 @@
         return;
     }
     if (record.key == departure_key(this->shared.local_settings.node)) {
-        const auto departure = decode_departure(*record.value);
-        if (departure) {
-            record_departure(this->gate.target, *departure);
-            this->persisted_departure = *departure;
+        const auto departed = decode_departures(*record.value);
+        if (departed) {
+            for (const instance_key& departure : *departed) {
+                record_departure(this->gate.target, departure);
+            }
+            this->persisted_departures = *departed;
         }
         return;
     }
--- a/src/pomeloloft/sidecar/daemon_target.cpp
+++ b/src/pomeloloft/sidecar/daemon_target.cpp
@@ -47,10 +47,10 @@
                                                 {"known", this->gate.target.sequence}});
         co_return false;
     }
-    if (this->gate.target.instance != reported.instance) {
+    if (this->gate.target.instance != reported.instance && !reported.draining) {
         co_return true;
     }
-    co_return co_await this->persist_departure();
+    co_return co_await this->persist_departures();
 }
 
 void sidecar_daemon::begin_draining()
@@ -67,32 +67,47 @@
         log_info("target-withdrawn", {{"instance", instance.id}});
         this->begin_draining();
     }
-    if (this->gate.target.instance.id != instance.id) {
-        co_return true;
+    if (!has_departed(this->gate.target, instance)) {
+        log_warning("target-shutdown-ignored",
+                    {{"instance", instance.id}, {"known", this->gate.target.instance.id}});
+        co_return false;
     }
-    co_return co_await this->persist_departure();
+    co_return co_await this->persist_departures();
 }
 
-net::task<bool> sidecar_daemon::persist_departure()
+net::task<bool> sidecar_daemon::persist_departures()
 {
-    const instance_key leaving = this->gate.target.instance;
-    if (this->gate.target.state != target_state::leaving || this->persisted_departure == leaving) {
+    const time_point deadline = steady_clock::now() + persist_departure_timeout;
+    while (this->persisting_departures && steady_clock::now() < deadline) {
+        co_await net::sleep_for(peer_poll_interval);
+    }
+    const std::deque<instance_key> departed = this->gate.target.departed;
+    const std::vector<instance_key> missing = departures_missing(departed, this->persisted_departures);
+    if (missing.empty()) {
         co_return true;
     }
+    if (this->persisting_departures) {
+        co_return false;
+    }
+    this->persisting_departures = true;
     std::vector<store_record> records;
-    records.push_back({departure_key(this->shared.local_settings.node), encode_departure(leaving)});
-    const time_point deadline = steady_clock::now() + persist_departure_timeout;
+    records.push_back({departure_key(this->shared.local_settings.node), encode_departures(departed)});
     const auto written = co_await this->store->put(std::move(records), deadline);
+    this->persisting_departures = false;
     if (written) {
-        this->persisted_departure = leaving;
+        this->persisted_departures = departed;
         co_return true;
     }
-    // A peer that holds this node's entry tells a restarted process of the departure.
-    while (!this->members.peer_knows_self() && steady_clock::now() < deadline) {
+    // A peer that holds this node's entry tells a restarted process of the departure of its present target.
+    const auto is_in_entry = [this](const instance_key& departure) {
+        return this->gate.target.state == target_state::leaving && departure == this->gate.target.instance;
+    };
+    const bool in_entry = std::all_of(missing.begin(), missing.end(), is_in_entry);
+    while (in_entry && !this->members.peer_knows_self() && steady_clock::now() < deadline) {
         co_await net::sleep_for(peer_poll_interval);
     }
-    const bool peers_know = this->members.peer_knows_self();
-    log_warning("departure-not-stored", {{"instance", leaving.id},
+    const bool peers_know = in_entry && this->members.peer_knows_self();
+    log_warning("departure-not-stored", {{"instance", missing.back().id},
                                          {"reason", to_string(written.error())},
                                          {"peers_know", peers_know ? "yes" : "no"}});
     co_return peers_know;
--- a/src/pomeloloft/sidecar/target.cpp
+++ b/src/pomeloloft/sidecar/target.cpp
@@ -124,11 +124,24 @@
         record_departure(target, instance);
         return report_effect::leaving;
     }
-    if (!may_be_same_instance(target.instance, instance) || target.state == target_state::leaving) {
-        return report_effect::stale;
+    if (may_be_same_instance(target.instance, instance)) {
+        if (target.state == target_state::leaving) {
+            return report_effect::stale;
+        }
+        mark_leaving(target);
+        return report_effect::leaving;
+    }
+    if (instance.started_at_ms > target.instance.started_at_ms) {
+        // The reports of this later instance have not arrived yet.
+        target.state = target_state::leaving;
+        target.instance = instance;
+        record_departure(target, instance);
+        return report_effect::leaving;
+    }
+    if (instance.id != target.instance.id) {
+        record_departure(target, instance);
     }
-    mark_leaving(target);
-    return report_effect::leaving;
+    return report_effect::stale;
 }
 
 bool apply_health_check(target_record& target, const std::string& id, std::uint32_t slots)
--- a/src/pomeloloft/sidecar/target_test.cpp
+++ b/src/pomeloloft/sidecar/target_test.cpp
@@ -2,6 +2,7 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include "pomeloloft/sidecar/departure_record.hpp"
 #include "pomeloloft/sidecar/target.hpp"
 #include "test/named_row.hpp"
 
@@ -110,6 +111,50 @@
     BOOST_TEST((apply_deregistration(target, {"a", 0}) == report_effect::leaving));
 }
 
+/// The deregistration of an instance that has not reported, while instance `a`, started at 100, is known.
+struct deregistration_row : testing::named_row {
+    instance_key instance;
+    report_effect effect;
+    target_state state;
+};
+
+const deregistration_row deregistration_rows[] = {
+    {"a later instance", {"b", 200}, report_effect::leaving, target_state::leaving},
+    {"a later instance under the same id", {"a", 200}, report_effect::leaving, target_state::leaving},
+    {"an earlier instance", {"z", 50}, report_effect::stale, target_state::serving},
+    {"an instance without a start time", {"b", 0}, report_effect::stale, target_state::serving},
+};
+
+// Guards against a deregistration that is acknowledged and not remembered.
+BOOST_DATA_TEST_CASE(a_deregistered_instance_that_has_not_reported_does_not_begin,
+                     boost::unit_test::data::make(deregistration_rows))
+{
+    target_record target = serving_target();
+    BOOST_TEST((apply_deregistration(target, sample.instance) == sample.effect));
+    BOOST_TEST((target.state == sample.state));
+    BOOST_TEST(has_departed(target, sample.instance));
+    const std::int64_t started = sample.instance.started_at_ms == 0 ? 200 : sample.instance.started_at_ms;
+    const target_report late = make_report(sample.instance.id.c_str(), started, 1);
+    BOOST_TEST((apply_report(target, late, steady_clock::now()) == report_effect::stale));
+    BOOST_TEST((target.state == sample.state));
+}
+
+BOOST_AUTO_TEST_CASE(departures_survive_encoding)
+{
+    const std::deque<instance_key> departed{{"a", 100}, {"b", 0}, {"c", 300}};
+    const auto read = decode_departures(encode_departures(departed));
+    BOOST_REQUIRE(read);
+    BOOST_TEST((*read == departed));
+    BOOST_TEST(departures_missing(departed, *read).empty());
+    BOOST_TEST(
+        (departures_missing(departed, {{"a", 100}, {"c", 300}}) == std::vector<instance_key>{{"b", 0}}));
+    // The record of an earlier version holds one departure.
+    const auto one = decode_departures(R"({"instance":"a","started_at_ms":100})");
+    BOOST_REQUIRE(one);
+    BOOST_TEST((*one == std::deque<instance_key>{{"a", 100}}));
+    BOOST_TEST(!decode_departures(R"({"instance":7,"started_at_ms":100})"));
+}
+
 BOOST_AUTO_TEST_CASE(nothing_is_dispatched_to_a_leaving_target_after_its_drain_period)
 {
     const time_point now = steady_clock::now();
