A popular request is served again after its targets have crashed

Callers saw a page refused with 503 on every machine for ten minutes, after all targets of its service had crashed once for another reason.

Cause: each crash counted against every request in progress at the target, also against one that the target had run to success a moment before. Only a later success lifts a quarantine, and a request that is never sent cannot have one.

A crash no longer counts against a request that the target has run to success since its last crash, within a minute. A request that crashes each target that runs it has no such success. pomeloloft proxy follows the same rule in place of its own, which left out requests that were alone at their target.

--- a/include/pomeloloft/proxy/blackboard.hpp
+++ b/include/pomeloloft/proxy/blackboard.hpp
@@ -25,10 +25,10 @@
 #include "pomeloloft/traffic/attempt_registry.hpp"
 #include "pomeloloft/traffic/choose.hpp"
 #include "pomeloloft/traffic/concurrency_limit.hpp"
+#include "pomeloloft/traffic/crash_evidence.hpp"
 #include "pomeloloft/traffic/decision_recorder.hpp"
 #include "pomeloloft/traffic/idempotency.hpp"
 #include "pomeloloft/traffic/outcome.hpp"
-#include "pomeloloft/traffic/recent_set.hpp"
 #include "pomeloloft/traffic/retry.hpp"
 #include "pomeloloft/traffic/smoothed_time.hpp"
 
@@ -149,8 +149,10 @@
     key_registry keys;
     endpoint_choice_options endpoint_options;
     retry_budget retry_tokens;
-    /// Fingerprints of requests that the local target has recently completed.
-    recent_set recent_successes;
+    /// Requests that the local target has run to a successful end.
+    survived_requests survived;
+    /// Number of times that the local target was announced again after it had become unreachable.
+    std::atomic<std::uint64_t> target_lives{0};
     connection_pool peer_connections;
     connection_pool target_connections;
 
--- a/include/pomeloloft/sidecar/crash_check.hpp
+++ b/include/pomeloloft/sidecar/crash_check.hpp
@@ -3,6 +3,8 @@
 #include <cstdint>
 
 #include "pomeloloft/base/clock.hpp"
+#include "pomeloloft/sidecar/suspects.hpp"
+#include "pomeloloft/traffic/crash_evidence.hpp"
 
 namespace pomeloloft::sidecar {
 
@@ -19,6 +21,22 @@
 /// alive since the last.
 std::uint64_t record_target_crash(target_liveness& target, time_point now);
 
+/// A request that was in progress at the target when that crashed.
+struct lost_run {
+    std::uint64_t fingerprint = 0;
+    /// Result of `record_target_crash`.
+    std::uint64_t crash = 0;
+};
+
+/// Whether a crash counts against a request: not if the target has run the same request to a successful end
+/// since the crash before.
+[[nodiscard]] bool counts_against(const lost_run& lost, const survived_requests& survived, time_point now);
+
+/// Records the status with which the target has responded to a request; a success clears the request.
+/// @return whether the request was a suspect until now.
+bool record_status(const target_liveness& target, survived_requests& survived, crash_suspects& suspects,
+                   std::uint64_t fingerprint, int status, time_point now);
+
 /// Result of a check whether the target still runs.
 enum class target_check : std::uint8_t { running, ended };
 
@@ -50,6 +68,8 @@
     /// Crashes of the target observed by requests on new and on reused connections.
     std::uint64_t crashes_on_new_connections = 0;
     std::uint64_t crashes_on_reused_connections = 0;
+    /// Crashes that did not count against a request, as the target had survived it before.
+    std::uint64_t crashes_not_counted = 0;
     std::uint64_t suspects_cleared = 0;
     /// Requests withheld from the target by the reason.
     std::uint64_t withheld_abandoned = 0;
--- a/include/pomeloloft/sidecar/gate.hpp
+++ b/include/pomeloloft/sidecar/gate.hpp
@@ -130,9 +130,10 @@
     /// Starts the diagnosis and waits briefly for its result.
     /// @return what identifies the crash; empty if none is known.
     net::task<std::string> find_crash(std::uint64_t fingerprint, time_point started, bool timed_out);
+    /// @return what identifies the crash; empty if it does not count against the request.
     std::string record_crash(std::uint64_t fingerprint, time_point now);
-    /// Clears a suspect if the target's response to it is a success.
-    void record_status(const net::request& answered, int status, time_point now);
+    /// Records whether the target has survived a request.
+    void record_survival(const net::request& answered, int status, time_point now);
 
     net::event_loop& loop;
     const settings& local_settings;
@@ -154,6 +155,7 @@
     time_point next_connect_at;
     time_point last_response_at;
     target_liveness liveness;
+    survived_requests survived;
     /// Ids of requests that the target has rejected or failed.
     recent_set failed_ids;
     /// Start times of the exchanges in progress.
--- a/include/pomeloloft/traffic/recent_set.hpp
+++ b/include/pomeloloft/traffic/recent_set.hpp
@@ -15,6 +15,9 @@
     /// Adds a hash, or renews its expiry.
     void add(std::uint64_t hash, time_point now);
 
+    /// Removes all hashes.
+    void clear();
+
     /// Whether a hash was added within the last minute.
     [[nodiscard]] bool contains(std::uint64_t hash, time_point now) const;
 
--- a/src/pomeloloft/proxy/local_api.cpp
+++ b/src/pomeloloft/proxy/local_api.cpp
@@ -85,6 +85,9 @@
         changed = !board.target || board.target->service != next.service ||
                   board.target->address != next.address || board.target->draining ||
                   board.target->unreachable;
+        if (board.target && board.target->unreachable) {
+            ++board.target_lives;
+        }
         board.target = next;
     }
     if (replaced) {
--- a/src/pomeloloft/proxy/serve_target.cpp
+++ b/src/pomeloloft/proxy/serve_target.cpp
@@ -70,8 +70,8 @@
 }
 
 /// Checks after a lost connection whether the target has crashed, that is, its process no longer runs. A
-/// crash is attributed to the request, unless other requests ran concurrently and an identical request has
-/// succeeded recently.
+/// crash counts against the request, unless the target has run an identical one to a successful end since its
+/// start.
 /// @return whether the target crashed.
 bool diagnose_lost_connection(blackboard& board, const announced_target& target, std::uint64_t fingerprint)
 {
@@ -79,8 +79,7 @@
         return false;
     }
     mark_unreachable(board, target.address);
-    const bool alone = board.target_admission.view().running <= 1;
-    const bool blamed = alone || !board.recent_successes.contains(fingerprint, steady_clock::now());
+    const bool blamed = !board.survived.contains(fingerprint, board.target_lives, steady_clock::now());
     log_warning(
         "target-crashed",
         {{"address", target.address}, {"fingerprint", fingerprint}, {"blamed", blamed ? "yes" : "no"}});
@@ -159,7 +158,7 @@
     if (relay_body(ex, board.target_connections, target.address, writer) == relay_outcome::truncated) {
         ++board.requests.responses_truncated;
     } else if (shows_survival(static_cast<int>(ex.response.getStatus()))) {
-        board.recent_successes.add(fingerprint_of(head, body), steady_clock::now());
+        board.survived.add(fingerprint_of(head, body), board.target_lives, steady_clock::now());
     }
     return {run_state::ran, refusal_reason::target_lost, true};
 }
--- a/src/pomeloloft/sidecar/crash_check.cpp
+++ b/src/pomeloloft/sidecar/crash_check.cpp
@@ -11,6 +11,20 @@
     return target.crashes;
 }
 
+bool counts_against(const lost_run& lost, const survived_requests& survived, time_point now)
+{
+    return !survived.contains(lost.fingerprint, lost.crash - 1, now);
+}
+
+bool record_status(const target_liveness& target, survived_requests& survived, crash_suspects& suspects,
+                   std::uint64_t fingerprint, int status, time_point now)
+{
+    if (shows_survival(status)) {
+        survived.add(fingerprint, target.crashes, now);
+    }
+    return clear_by_response(suspects, fingerprint, status, now);
+}
+
 target_check judge_loss(const loss_evidence& evidence)
 {
     if (evidence.has_responded_since) {
--- a/src/pomeloloft/sidecar/gate.cpp
+++ b/src/pomeloloft/sidecar/gate.cpp
@@ -427,7 +427,7 @@
     }
     if (out.outcome == attempt_outcome::answered) {
         this->record_response(call.route, started);
-        this->record_status(sent, static_cast<int>(out.response.result_int()), steady_clock::now());
+        this->record_survival(sent, static_cast<int>(out.response.result_int()), steady_clock::now());
     } else if (unexplained) {
         // A target that accepts a connection and ends it without a byte counts as crashed even if it still
         // runs; on a reused connection it may only have closed an idle connection.
--- a/src/pomeloloft/sidecar/gate_crashes.cpp
+++ b/src/pomeloloft/sidecar/gate_crashes.cpp
@@ -98,6 +98,11 @@
 {
     const std::uint64_t number = record_target_crash(this->liveness, now);
     std::string crash = this->process + '.' + std::to_string(number);
+    if (!counts_against({request, number}, this->survived, now)) {
+        ++this->counters.crashes_not_counted;
+        log_info("target-crashed", {{"crash", crash}, {"fingerprint", request}, {"counted", "no"}});
+        return {};
+    }
     if (this->suspects.add({request, crash}, now)) {
         log_info("target-crashed",
                  {{"crash", crash},
@@ -124,13 +129,10 @@
     this->handle_target_change();
 }
 
-void target_gate::record_status(const net::request& answered, int status, time_point now)
+void target_gate::record_survival(const net::request& answered, int status, time_point now)
 {
-    if (this->suspects.empty()) {
-        return;
-    }
     const std::uint64_t request = fingerprint_of(answered, this->local_settings.headers);
-    if (!clear_by_response(this->suspects, request, status, now)) {
+    if (!record_status(this->liveness, this->survived, this->suspects, request, status, now)) {
         return;
     }
     ++this->counters.suspects_cleared;
--- a/src/pomeloloft/sidecar/metrics.cpp
+++ b/src/pomeloloft/sidecar/metrics.cpp
@@ -87,6 +87,9 @@
                                       "Requests at the target when it crashed, by their connection."));
     add_counter(families.back(), "connection", "new", counted.crashes_on_new_connections);
     add_counter(families.back(), "connection", "reused", counted.crashes_on_reused_connections);
+    families.push_back(counter_family("pomeloloft_target_crashes_not_counted_total",
+                                      "Crashes that did not count against a request, by the reason."));
+    add_counter(families.back(), "reason", "survived_before", counted.crashes_not_counted);
     families.push_back(
         counter_family("pomeloloft_suspects_cleared_total", "Suspects to which the target has responded."));
     add_counter(families.back(), "by", "response", counted.suspects_cleared);
--- a/src/pomeloloft/traffic/recent_set.cpp
+++ b/src/pomeloloft/traffic/recent_set.cpp
@@ -20,6 +20,13 @@
     }
 }
 
+void recent_set::clear()
+{
+    const std::lock_guard lock(this->mutex);
+    this->expiry.clear();
+    this->order.clear();
+}
+
 bool recent_set::contains(std::uint64_t hash, time_point now) const
 {
     const std::lock_guard lock(this->mutex);
--- a/test/integration/crashing_requests_test.cpp
+++ b/test/integration/crashing_requests_test.cpp
@@ -8,6 +8,8 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include "pomeloloft/net/spawn.hpp"
+#include "pomeloloft/net/timer.hpp"
 #include "sidecar_fleet.hpp"
 #include "test/named_row.hpp"
 
@@ -60,6 +62,14 @@
     return out;
 }
 
+net::task<void> crash_after(milliseconds delay, std::vector<platform_target*> targets)
+{
+    co_await net::sleep_for(delay);
+    for (platform_target* target : targets) {
+        target->crash();
+    }
+}
+
 struct crash_row : named_row {
     std::size_t targets;
     /// Requests in flight at the same time, each of which may have caused the crash.
@@ -207,6 +217,38 @@
     BOOST_TEST(fleet.call(0, request_for(crashing_path, "last")).status == 503);
 }
 
+// Guards against a popular request that is refused for ten minutes because all targets crashed while they
+// ran it.
+BOOST_AUTO_TEST_CASE(a_popular_request_is_served_again_after_all_targets_have_crashed_once)
+{
+    sidecar_fleet fleet({"register", "register", "register", "gallery"});
+    constexpr std::size_t entry = 3;
+    for (std::size_t node = 0; node < entry; ++node) {
+        fleet.nodes[node].target->service_time = milliseconds(200);
+        fleet.nodes[node].target->downtime = milliseconds(500);
+    }
+    const auto send_many = [&fleet](const std::string& id) {
+        std::vector<caller_request> requests;
+        for (int i = 0; i < 12; ++i) {
+            requests.push_back(request_for("/read/popular", id + std::to_string(i)));
+        }
+        return fleet.call_all(entry, requests);
+    };
+    for (const caller_response& response : send_many("before")) {
+        BOOST_TEST(response.status == 200);
+    }
+    const std::vector<platform_target*> crashing{fleet.nodes[0].target.get(), fleet.nodes[1].target.get(),
+                                                 fleet.nodes[2].target.get()};
+    net::spawn(fleet.loop, crash_after(milliseconds(100), crashing), "crash");
+    send_many("lost");
+    BOOST_TEST(crashes(fleet) == 3);
+    fleet.run_for(milliseconds(1500));
+    for (std::size_t node = 0; node < fleet.nodes.size(); ++node) {
+        const std::string id = "after" + std::to_string(node);
+        BOOST_TEST(fleet.call(node, request_for("/read/popular", id)).status == 200);
+    }
+}
+
 // Guards against a crash that is taken for the one before, because nothing was sent to the restarted target
 // in between.
 BOOST_AUTO_TEST_CASE(the_first_request_after_a_restart_of_its_target_counts_as_another_crash)
