The stored quarantine of a request ends with its success

A request that a target had survived was cleared in the whole fleet but stayed in the store's record, which is read by a sidecar that starts: a restart would have refused it again for the rest of ten minutes.

Cause: the record was written only when a crash was added. It is now also written when a request of it is no longer quarantined before its crashes expire.

--- a/include/pomeloloft/sidecar/daemon.hpp
+++ b/include/pomeloloft/sidecar/daemon.hpp
@@ -104,6 +104,7 @@
     std::string earlier_version;
     /// Observations in this node's record of quarantined requests.
     std::vector<crash_observation> stored_quarantine;
+    time_point quarantine_stored_at;
     bool reconnecting = false;
 };
 
--- a/src/pomeloloft/sidecar/daemon.cpp
+++ b/src/pomeloloft/sidecar/daemon.cpp
@@ -300,8 +300,10 @@
 {
     for (;;) {
         co_await net::sleep_for(quarantine_check_interval);
-        auto quarantined = this->shared.suspects.quarantined_by(this->gate.process, steady_clock::now());
-        if (!has_new_crash(quarantined, this->stored_quarantine)) {
+        const time_point now = steady_clock::now();
+        auto quarantined = this->shared.suspects.quarantined_by(this->gate.process, now);
+        if (!has_new_crash(quarantined, this->stored_quarantine) &&
+            !has_cleared_request(quarantined, this->stored_quarantine, this->quarantine_stored_at, now)) {
             continue;
         }
         std::vector<store_record> records;
@@ -311,6 +313,7 @@
             co_await this->store->put(std::move(records), steady_clock::now() + register_timeout);
         if (written) {
             this->stored_quarantine = std::move(quarantined);
+            this->quarantine_stored_at = now;
             continue;
         }
         log_warning("quarantine-not-stored", {{"reason", to_string(written.error())}});
--- a/src/pomeloloft/sidecar/quarantine_record.cpp
+++ b/src/pomeloloft/sidecar/quarantine_record.cpp
@@ -31,6 +31,16 @@
     });
 }
 
+bool has_cleared_request(const std::vector<crash_observation>& observations,
+                         const std::vector<crash_observation>& stored, time_point stored_at, time_point now)
+{
+    return std::any_of(stored.begin(), stored.end(), [&](const crash_observation& o) {
+        const bool expired = now >= stored_at + o.time_left;
+        return !expired && std::none_of(observations.begin(), observations.end(),
+                                        [&o](const auto& held) { return held.fingerprint == o.fingerprint; });
+    });
+}
+
 result<std::vector<crash_observation>> decode_quarantine(std::string_view text, std::int64_t now_ms)
 {
     const json parsed = parse_json(text);
--- a/src/pomeloloft/sidecar/suspects_test.cpp
+++ b/src/pomeloloft/sidecar/suspects_test.cpp
@@ -254,6 +254,16 @@
     BOOST_TEST(has_new_crash({{answered_request, "n1#5.1"}}, stored));
 }
 
+BOOST_AUTO_TEST_CASE(a_stored_quarantine_is_outdated_once_a_request_of_it_was_cleared)
+{
+    const time_point now = steady_clock::now();
+    const std::vector<crash_observation> stored{{crashing_request, "n1#5.1", milliseconds(5000)}};
+    BOOST_TEST(!has_cleared_request(stored, stored, now, now));
+    BOOST_TEST(has_cleared_request({}, stored, now, now + milliseconds(4999)));
+    BOOST_TEST(has_cleared_request({{answered_request, "n1#5.1"}}, stored, now, now));
+    BOOST_TEST(!has_cleared_request({}, stored, now, now + milliseconds(5000)));
+}
+
 BOOST_DATA_TEST_CASE(a_busy_target_is_told_from_one_that_has_ended,
                      boost::unit_test::data::make(evidence_rows), row)
 {
--- a/test/integration/crashing_requests_test.cpp
+++ b/test/integration/crashing_requests_test.cpp
@@ -249,6 +249,33 @@
     }
 }
 
+// Guards against a restart that brings back the quarantine of a request which a target has survived since.
+BOOST_AUTO_TEST_CASE(the_stored_quarantine_of_a_request_ends_with_its_success)
+{
+    sidecar_fleet fleet(4);
+    std::vector<platform_target*> crashing;
+    for (sidecar_node& node : fleet.nodes) {
+        node.target->service_time = milliseconds(800);
+        node.target->downtime = milliseconds(500);
+        crashing.push_back(node.target.get());
+    }
+    crashing.pop_back();
+    net::spawn(fleet.loop, crash_after(milliseconds(100), crashing), "crash");
+    std::vector<caller_request> requests;
+    for (int i = 0; i < 16; ++i) {
+        requests.push_back(request_for("/read/new", "n" + std::to_string(i)));
+    }
+    fleet.call_all(3, requests);
+    const auto holds_crashes = [&fleet](const std::string& node) {
+        const std::string record = fleet.store.newest("keyed.pomeloloft", "quarantine/" + node);
+        return record.find("expires_at_ms") != std::string::npos;
+    };
+    BOOST_TEST(fleet.run_until(
+        [&] { return !holds_crashes("n0") && !holds_crashes("n1") && !holds_crashes("n2"); }));
+    BOOST_TEST(fleet.log_of(0).find("target-crashed") != std::string::npos);
+    BOOST_TEST(fleet.call(0, request_for("/read/new", "after")).status == 200);
+}
+
 // Guards against a crash that is taken for the one before, because nothing was sent to the restarted target
 // in between.
 BOOST_AUTO_TEST_CASE(the_first_request_after_a_restart_of_its_target_counts_as_another_crash)
