An empty list of organisations admits no key

Callers whose last key had been taken away, and callers with any other key or none, were served on every machine, and targets were shown the keys.

Cause: a route table kept the list only, so an empty one and none were the same, in the request path, in the deltas between sidecars and in the hash of a table.

A table now says whether keys are required. Deltas carry it; the hash covers it only where the list does not tell, so that earlier versions agree in all other states.

--- a/include/pomeloloft/routing/route_table.hpp
+++ b/include/pomeloloft/routing/route_table.hpp
@@ -66,7 +66,9 @@
     std::vector<route> routes;
     std::map<std::string, service> services;
     request_limits limits;
-    /// Organisations whose callers have keys; where there are none, no key is required.
+    /// Whether callers need the key of an organisation, except on public routes. Set by `build_table` if
+    /// there are organisations; without any, a configuration may still require keys and so admits none.
+    bool requires_keys = false;
     std::vector<organisation> organisations;
     /// Indices in `organisations` by key.
     key_index organisations_by_key;
--- a/include/pomeloloft/routing/table_codec.hpp
+++ b/include/pomeloloft/routing/table_codec.hpp
@@ -25,6 +25,8 @@
     std::map<std::string, service> services;
     bool services_changed = false;
     request_limits limits;
+    /// `requires_keys` of the later version.
+    bool requires_keys = false;
     /// Organisations that are new or changed, identified by their names.
     std::vector<organisation> changed_organisations;
     std::vector<std::string> removed_organisations;
--- a/src/pomeloloft/routing/organisation.cpp
+++ b/src/pomeloloft/routing/organisation.cpp
@@ -34,7 +34,7 @@
 
 caller_identity identify_caller(const route_table& table, const route& r, std::string_view key)
 {
-    if (table.organisations.empty()) {
+    if (!table.requires_keys) {
         return {true, nullptr};
     }
     const auto found = table.organisations_by_key.find(key);
--- a/src/pomeloloft/routing/organisation_test.cpp
+++ b/src/pomeloloft/routing/organisation_test.cpp
@@ -108,6 +108,17 @@
     BOOST_TEST(identify_caller(*table, table->routes[0], "other").admitted);
 }
 
+BOOST_AUTO_TEST_CASE(no_key_is_valid_if_keys_are_required_without_organisations)
+{
+    route_table source = make_source();
+    source.organisations.clear();
+    source.requires_keys = true;
+    const auto table = build_table(source).value();
+    BOOST_TEST(!identify_caller(*table, table->routes[0], "").admitted);
+    BOOST_TEST(!identify_caller(*table, table->routes[0], "old-key").admitted);
+    BOOST_TEST(identify_caller(*table, table->routes[1], "").admitted);
+}
+
 BOOST_DATA_TEST_CASE(invalid_organisations_are_rejected_without_naming_keys,
                      boost::unit_test::data::make(invalid_rows))
 {
--- a/src/pomeloloft/routing/route_table.cpp
+++ b/src/pomeloloft/routing/route_table.cpp
@@ -88,6 +88,7 @@
             errors += "route " + r.name + ": another route has the same host and prefix\n";
         }
     }
+    source.requires_keys = source.requires_keys || !source.organisations.empty();
     index_keys(source, errors);
     if (!errors.empty()) {
         errors.pop_back();
--- a/src/pomeloloft/routing/table_codec.cpp
+++ b/src/pomeloloft/routing/table_codec.cpp
@@ -188,6 +188,10 @@
     for (const organisation& o : table.organisations) {
         organisations ^= hash_organisation(o);
     }
+    if (table.requires_keys && table.organisations.empty()) {
+        // Earlier versions do not know this state; in all others, the hash is the same as theirs.
+        organisations = hash_combine(organisations, 1);
+    }
     return hash_combine(hash_combine(routes, rest), table.version) ^ organisations;
 }
 
@@ -216,6 +220,7 @@
         out.services = to.services;
     }
     out.limits = to.limits;
+    out.requires_keys = to.requires_keys;
     add_organisation_changes(from, to, out);
     return out;
 }
@@ -230,6 +235,7 @@
     route_table next = base;
     next.version = delta.version;
     next.limits = delta.limits;
+    next.requires_keys = delta.requires_keys;
     if (delta.services_changed) {
         next.services = delta.services;
     }
@@ -277,6 +283,9 @@
         }
         out["services"] = std::move(services);
     }
+    if (delta.requires_keys) {
+        out["requires_keys"] = true;
+    }
     if (!delta.changed_organisations.empty()) {
         json organisations = json::array();
         for (const organisation& o : delta.changed_organisations) {
@@ -315,6 +324,7 @@
                 out.services[name] = {name, s.at(1).get<std::string>(), s.at(2).get<std::uint32_t>()};
             }
         }
+        out.requires_keys = in.contains("requires_keys") && in.at("requires_keys").get<bool>();
         if (const auto organisations = in.find("organisations"); organisations != in.end()) {
             for (const json& o : *organisations) {
                 out.changed_organisations.push_back(organisation_from(o));
--- a/src/pomeloloft/routing/table_codec_test.cpp
+++ b/src/pomeloloft/routing/table_codec_test.cpp
@@ -21,6 +21,7 @@
         r.split = {{"register", 1}};
         out.routes.push_back(r);
     }
+    out.requires_keys = true;
     out.organisations.push_back({"large", {"k1", "k2"}, 0, 100.5, 50});
     out.organisations.push_back({"small", {"k3"}, 1, 0, 0});
     return out;
@@ -59,6 +60,12 @@
      [](route_table& t) {
          t.organisations.push_back({"new", {"k9"}, 2, 1, 1});
      }},
+    {"no organisation, and keys required", [](route_table& t) { t.organisations.clear(); }},
+    {"no organisation, and no keys required",
+     [](route_table& t) {
+         t.organisations.clear();
+         t.requires_keys = false;
+     }},
     {"all at once",
      [](route_table& t) {
          t.routes.erase(t.routes.begin(), t.routes.begin() + 3);
@@ -85,6 +92,7 @@
     BOOST_TEST(hash_of(*applied.value()) == hash_of(*after));
     BOOST_TEST(applied.value()->routes.size() == after->routes.size());
     BOOST_TEST(applied.value()->organisations.size() == after->organisations.size());
+    BOOST_TEST(applied.value()->requires_keys == after->requires_keys);
     BOOST_TEST(applied.value()->organisations_by_key.size() == after->organisations_by_key.size());
 }
 
@@ -98,6 +106,32 @@
     BOOST_TEST(hash_of(*applied.value()) == hash_of(*table));
 }
 
+// Guards against keys that are no longer required once the last organisation is gone.
+BOOST_AUTO_TEST_CASE(required_keys_are_part_of_a_table_without_organisations)
+{
+    route_table open = make_source(8);
+    open.organisations.clear();
+    open.requires_keys = false;
+    route_table closed = open;
+    closed.requires_keys = true;
+    const auto open_table = build_table(open).value();
+    const auto closed_table = build_table(closed).value();
+    BOOST_TEST(hash_of(*open_table) != hash_of(*closed_table));
+    for (const auto& table : {open_table, closed_table}) {
+        const auto delta = decode_delta(encode_delta(make_delta(route_table{}, *table)));
+        BOOST_REQUIRE(delta);
+        const auto applied = apply_delta(route_table{}, delta.value());
+        BOOST_REQUIRE(applied);
+        BOOST_TEST(applied.value()->requires_keys == table->requires_keys);
+    }
+    // Processes of earlier versions do not say whether keys are required.
+    table_delta earlier = make_delta(route_table{}, *build_table(make_source(8)).value());
+    earlier.requires_keys = false;
+    const auto applied = apply_delta(route_table{}, earlier);
+    BOOST_REQUIRE(applied);
+    BOOST_TEST(applied.value()->requires_keys);
+}
+
 BOOST_AUTO_TEST_CASE(a_delta_from_another_version_is_rejected)
 {
     const auto before = build_table(make_source(3)).value();
--- a/src/pomeloloft/sidecar/outbound_router.cpp
+++ b/src/pomeloloft/sidecar/outbound_router.cpp
@@ -325,7 +325,7 @@
 
 bool outbound_router::identify(net::request& received, request_context& context) const
 {
-    if (context.table->organisations.empty()) {
+    if (!context.table->requires_keys) {
         return true;
     }
     const header_names& names = this->shared.local_settings.headers;
--- a/test/integration/keys_test.cpp
+++ b/test/integration/keys_test.cpp
@@ -120,6 +120,51 @@
     }
 }
 
+struct last_key_row : named_row {
+    /// JSON of the list of organisations that follows the version with keys.
+    const char* organisations;
+    /// Statuses of requests with the key that was valid, with another and without one.
+    int status;
+};
+
+const last_key_row last_key_rows[] = {
+    {{"an empty list"}, R"(,"Tenants":[])", 401},
+    {{"an organisation without keys"}, R"(,"Tenants":[{"Name":"clinic","ApiKeys":[]}])", 401},
+    {{"an organisation without a list of keys"}, R"(,"Tenants":[{"Name":"clinic"}])", 401},
+    {{"no list"}, "", 200},
+};
+
+// Guards against a configuration that admits all callers once the last key is taken away.
+BOOST_DATA_TEST_CASE(no_key_is_valid_after_the_last_one_was_revoked,
+                     boost::unit_test::data::make(last_key_rows))
+{
+    sidecar_fleet fleet(2);
+    fleet.configure(2, public_route, clinic_and_depot);
+    int sent = 0;
+    const auto status = [&](std::size_t node, const std::string& authorization) {
+        const std::string id = "l" + std::to_string(++sent);
+        return fleet.call(node, request_with(id, "/read/1", authorization)).status;
+    };
+    for (std::size_t node = 0; node < fleet.nodes.size(); ++node) {
+        BOOST_REQUIRE(fleet.run_until([&] { return status(node, "") == 401; }));
+        BOOST_REQUIRE(status(node, "Token depot-key") == 200);
+    }
+    fleet.configure(3, public_route, sample.organisations);
+    fleet.run_for(milliseconds(1000));
+    for (sidecar_node& node : fleet.nodes) {
+        node.target->request_heads.clear();
+    }
+    for (std::size_t node = 0; node < fleet.nodes.size(); ++node) {
+        for (const char* authorization : {"Token depot-key", "Token other", ""}) {
+            BOOST_TEST(status(node, authorization) == sample.status);
+        }
+        BOOST_TEST(fleet.call(node, request_with("p", "/status/1", "")).status == 200);
+    }
+    if (sample.status == 401) {
+        BOOST_TEST(!contains(received_heads(fleet), "-key"));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_document_in_which_two_organisations_share_a_key_is_not_adopted)
 {
     sidecar_fleet fleet(1);
