Tests: a reset cuts off a response also some time after its bytes

The users saw on other systems a cut answer without a length, and an answer with the status 000, passed on as answers.

--- a/src/pomeloloft/net/broken_response_test.cpp
+++ b/src/pomeloloft/net/broken_response_test.cpp
@@ -35,6 +35,9 @@
         // Without a step of the event loop in between, so that the sender sees both at the same time.
         stream.socket().send(asio::buffer(this->bytes));
         if (this->resets) {
+            if (this->reset_delay.count() > 0) {
+                co_await sleep_for(this->reset_delay);
+            }
             stream.socket().set_option(asio::socket_base::linger(true, 0));
             stream.close();
         }
@@ -44,6 +47,8 @@
     std::string bytes;
     /// Resets the connection after the bytes.
     bool resets = false;
+    /// Time between the bytes and the reset.
+    milliseconds reset_delay{0};
     event_loop loop;
     tcp::acceptor acceptor;
 };
@@ -192,13 +197,15 @@
 
 // Guards against a reset that only the write of the request reports, and whose connection then seems to end
 // normally.
-BOOST_DATA_TEST_CASE(a_response_that_a_reset_cuts_off_is_incomplete, boost::unit_test::data::make(reset_rows),
-                     row)
+BOOST_DATA_TEST_CASE(a_response_that_a_reset_cuts_off_is_incomplete,
+                     boost::unit_test::data::make(reset_rows) * boost::unit_test::data::make({0, 1, 20}), row,
+                     delay_ms)
 {
     constexpr int rounds = 20;
     for (int round = 0; round < rounds; ++round) {
         raw_remote to(row.response);
         to.resets = true;
+        to.reset_delay = milliseconds(delay_ms);
         const exchange_result ended = call(to, make_request(http::verb::post, row.body_bytes));
         BOOST_TEST(name_of(exchange_end_names, ended.end) == name_of(exchange_end_names, row.end));
         BOOST_TEST(!ended.reusable);
