Reports after a step of the clock count, and no departure is acknowledged in vain

Cause: start times alone ordered instances, for ever, and a departure was acknowledged whether or not it was remembered. Found further by playing all orders of the events at a VM: departures without a start time that hit later instances or missed the one they were for, and drain periods that began again.

Start times now order instances only while reports of the earlier one may still arrive (5 s); a departure is acknowledged only if it is remembered.

--- a/include/pomeloloft/sidecar/daemon.hpp
+++ b/include/pomeloloft/sidecar/daemon.hpp
@@ -97,7 +97,7 @@
     std::shared_ptr<net::server> ready;
     time_point started_at;
     /// The departed instances recorded in the store, from which a restarted process reads them.
-    std::deque<instance_key> persisted_departures;
+    std::deque<departure> persisted_departures;
     bool persisting_departures = false;
     /// The target that an earlier process of this node knew, and its version.
     instance_key earlier_instance;
--- a/include/pomeloloft/sidecar/departure_record.hpp
+++ b/include/pomeloloft/sidecar/departure_record.hpp
@@ -12,15 +12,24 @@
 /// Key of the record of a node in the platform's store.
 [[nodiscard]] std::string departure_key(const std::string& node);
 
-/// Encodes the starts of targets that have left as JSON, for the platform's store.
+/// The same moment by two clocks. A record outlives the steady clock of a process.
+struct clock_reading {
+    time_point now;
+    /// Unix milliseconds.
+    std::int64_t wall_ms = 0;
+};
+
+/// Encodes the departures of a node's targets as JSON, for the platform's store.
 /// @param departed newest last; not empty.
-[[nodiscard]] std::string encode_departures(const std::deque<instance_key>& departed);
+[[nodiscard]] std::string encode_departures(const std::deque<departure>& departed,
+                                            const clock_reading& clock);
 
 /// The departures that a record does not hold.
-[[nodiscard]] std::vector<instance_key> departures_missing(const std::deque<instance_key>& departed,
-                                                           const std::deque<instance_key>& recorded);
+[[nodiscard]] std::vector<instance_key> departures_missing(const std::deque<departure>& departed,
+                                                           const std::deque<departure>& recorded);
 
-/// Decodes the starts of targets that have left; nothing if the text is no such record.
-[[nodiscard]] std::optional<std::deque<instance_key>> decode_departures(const std::string& text);
+/// Decodes the departures of a record; nothing if the text is no such record.
+[[nodiscard]] std::optional<std::deque<departure>> decode_departures(const std::string& text,
+                                                                     const clock_reading& clock);
 
 } // namespace pomeloloft::sidecar
--- a/include/pomeloloft/sidecar/target.hpp
+++ b/include/pomeloloft/sidecar/target.hpp
@@ -20,6 +20,21 @@
     bool operator==(const instance_key&) const = default;
 };
 
+/// Longest time from the sending of a report to its arrival.
+inline constexpr milliseconds max_report_delay{5000};
+
+/// An instance that has announced its shutdown or deregistered.
+struct departure {
+    instance_key instance;
+    /// When that was learned.
+    time_point left_at;
+    /// Wall clock time in Unix milliseconds by which the instance had started; used if its start time was not
+    /// reported.
+    std::int64_t started_by_ms = 0;
+
+    bool operator==(const departure&) const = default;
+};
+
 /// Heartbeat report of a target.
 struct target_report {
     instance_key instance;
@@ -63,8 +78,12 @@
     /// Time after which nothing is sent to a target that is shutting down; set when its report is
     /// acknowledged.
     time_point dispatch_until = no_deadline;
-    /// Instances that have announced their shutdown or deregistered, newest last.
-    std::deque<instance_key> departed;
+    /// When the instance was first heard of.
+    time_point known_since;
+    /// The instance before it.
+    instance_key previous;
+    /// Newest last.
+    std::deque<departure> departed;
 };
 
 /// Effect of a report.
@@ -74,34 +93,39 @@
     refreshed,
     /// A new instance of the target.
     started,
-    /// The target is shutting down.
+    /// The target, which has got requests, is shutting down; the caller sets `dispatch_until`.
     leaving,
+    /// A target that has got no requests is shutting down.
+    left,
 };
 
 /// Names of `report_effect` in logs.
-inline constexpr name_table<report_effect, 4> report_effect_names{{
+inline constexpr name_table<report_effect, 5> report_effect_names{{
     {report_effect::stale, "stale"},
     {report_effect::refreshed, "refreshed"},
     {report_effect::started, "started"},
     {report_effect::leaving, "leaving"},
+    {report_effect::left, "left"},
 }};
 
 /// Applies a report. Delayed reports of an earlier instance, or of one that has announced its shutdown, have
-/// no effect.
+/// no effect. Start times tell which of two instances is the later one only while the reports of the earlier
+/// one may still arrive, as the clock of a VM can be set back; after that, the instance that reports is the
+/// one that runs.
 report_effect apply_report(target_record& target, const target_report& report, time_point now);
 
-/// Whether the target goes on getting requests although the report, already applied, says that it shuts down.
-/// Such a report must not be acknowledged.
+/// Whether a report, already applied, announces a shutdown that has no effect. Such a report must not be
+/// acknowledged.
 [[nodiscard]] bool hides_shutdown(const target_record& target, const target_report& report);
 
 /// Applies the deregistration of an instance that did not drain first. It may only be acknowledged if
 /// `has_departed` holds afterwards.
-/// @param instance `started_at_ms` is 0 when it was not reported.
-report_effect apply_deregistration(target_record& target, const instance_key& instance);
+/// @param left `instance.started_at_ms` is 0 when it was not reported.
+report_effect apply_deregistration(target_record& target, const departure& left);
 
 /// Applies a successful health check: instance `id` is healthy and is not shutting down.
 /// @return whether the target is serving as a result.
-bool apply_health_check(target_record& target, const std::string& id, std::uint32_t slots);
+bool apply_health_check(target_record& target, const std::string& id, std::uint32_t slots, time_point now);
 
 /// Whether an instance id can be stored and sent in headers: 1 to 256 graphic ASCII characters.
 [[nodiscard]] bool is_valid_instance_id(std::string_view id);
@@ -111,7 +135,7 @@
 
 /// Records that an instance has announced its shutdown; used also for records from before this process
 /// started.
-void record_departure(target_record& target, const instance_key& instance);
+void record_departure(target_record& target, const departure& left);
 
 /// Whether an instance has announced its shutdown or deregistered.
 [[nodiscard]] bool has_departed(const target_record& target, const instance_key& instance);
--- a/src/pomeloloft/sidecar/daemon.cpp
+++ b/src/pomeloloft/sidecar/daemon.cpp
@@ -227,10 +227,10 @@
         return;
     }
     if (record.key == departure_key(this->shared.local_settings.node)) {
-        const auto departed = decode_departures(*record.value);
+        const auto departed = decode_departures(*record.value, {steady_clock::now(), wall_clock_ms()});
         if (departed) {
-            for (const instance_key& departure : *departed) {
-                record_departure(this->gate.target, departure);
+            for (const departure& left : *departed) {
+                record_departure(this->gate.target, left);
             }
             this->persisted_departures = *departed;
         }
--- a/src/pomeloloft/sidecar/daemon_rollouts.cpp
+++ b/src/pomeloloft/sidecar/daemon_rollouts.cpp
@@ -41,7 +41,8 @@
         this->earlier_version = earlier.version;
     }
     if (earlier.state == member_state::draining && !earlier.instance.empty()) {
-        record_departure(this->gate.target, {earlier.instance, earlier.instance_started_at_ms});
+        record_departure(this->gate.target,
+                         {{earlier.instance, earlier.instance_started_at_ms}, steady_clock::now()});
     }
 }
 
--- a/src/pomeloloft/sidecar/daemon_target.cpp
+++ b/src/pomeloloft/sidecar/daemon_target.cpp
@@ -25,7 +25,7 @@
 net::task<bool> sidecar_daemon::handle_report(target_report reported)
 {
     const report_effect effect = apply_report(this->gate.target, reported, steady_clock::now());
-    if (effect == report_effect::started || effect == report_effect::leaving) {
+    if (effect != report_effect::stale && effect != report_effect::refreshed) {
         log_info("target-report", {{"effect", name_of(report_effect_names, effect)},
                                    {"instance", reported.instance.id},
                                    {"sequence", reported.sequence}});
@@ -40,6 +40,8 @@
         this->gate.handle_target_change();
     } else if (effect == report_effect::leaving) {
         this->begin_draining();
+    } else if (effect == report_effect::left) {
+        this->publish();
     }
     if (hides_shutdown(this->gate.target, reported)) {
         log_warning("target-shutdown-ignored", {{"instance", reported.instance.id},
@@ -62,10 +64,16 @@
 
 net::task<bool> sidecar_daemon::handle_deregistration(instance_key instance)
 {
-    const report_effect effect = apply_deregistration(this->gate.target, instance);
+    const report_effect effect =
+        apply_deregistration(this->gate.target, {instance, steady_clock::now(), wall_clock_ms()});
+    if (effect != report_effect::stale) {
+        log_info("target-withdrawn",
+                 {{"effect", name_of(report_effect_names, effect)}, {"instance", instance.id}});
+    }
     if (effect == report_effect::leaving) {
-        log_info("target-withdrawn", {{"instance", instance.id}});
         this->begin_draining();
+    } else if (effect == report_effect::left) {
+        this->publish();
     }
     if (!has_departed(this->gate.target, instance)) {
         log_warning("target-shutdown-ignored",
@@ -81,7 +89,7 @@
     while (this->persisting_departures && steady_clock::now() < deadline) {
         co_await net::sleep_for(peer_poll_interval);
     }
-    const std::deque<instance_key> departed = this->gate.target.departed;
+    const std::deque<departure> departed = this->gate.target.departed;
     const std::vector<instance_key> missing = departures_missing(departed, this->persisted_departures);
     if (missing.empty()) {
         co_return true;
@@ -91,7 +99,8 @@
     }
     this->persisting_departures = true;
     std::vector<store_record> records;
-    records.push_back({departure_key(this->shared.local_settings.node), encode_departures(departed)});
+    records.push_back({departure_key(this->shared.local_settings.node),
+                       encode_departures(departed, {steady_clock::now(), wall_clock_ms()})});
     const auto written = co_await this->store->put(std::move(records), deadline);
     this->persisting_departures = false;
     if (written) {
@@ -99,8 +108,8 @@
         co_return true;
     }
     // A peer that holds this node's entry tells a restarted process of the departure of its present target.
-    const auto is_in_entry = [this](const instance_key& departure) {
-        return this->gate.target.state == target_state::leaving && departure == this->gate.target.instance;
+    const auto is_in_entry = [this](const instance_key& instance) {
+        return this->gate.target.state == target_state::leaving && instance == this->gate.target.instance;
     };
     const bool in_entry = std::all_of(missing.begin(), missing.end(), is_in_entry);
     while (in_entry && !this->members.peer_knows_self() && steady_clock::now() < deadline) {
@@ -127,7 +136,8 @@
         }
         const auto healthy = co_await this->gate.probe(service->second.health_path);
         if (healthy && this->gate.target.state == target_state::unknown &&
-            apply_health_check(this->gate.target, healthy.value(), discovered_target_slots)) {
+            apply_health_check(this->gate.target, healthy.value(), discovered_target_slots,
+                               steady_clock::now())) {
             log_info("target-found", {{"instance", healthy.value()}});
             this->publish();
         }
--- a/test/integration/leaving_targets_test.cpp
+++ b/test/integration/leaving_targets_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include "pomeloloft/sidecar/target.hpp"
 #include "sidecar_fleet.hpp"
 #include "test/named_row.hpp"
 
@@ -72,6 +73,46 @@
     BOOST_TEST(arrivals_at(*node.target, "i-1-next") == before);
 }
 
+// Guards against a target whose clock was set back between two starts: its reports were taken for late ones,
+// and its shutdown was acknowledged without effect.
+BOOST_AUTO_TEST_CASE(a_target_that_started_before_its_clock_was_set_back_can_drain)
+{
+    sidecar_fleet fleet(3);
+    sidecar_node& node = fleet.nodes[1];
+    node.target_started_at_ms = 3000;
+    node.heartbeat_sequence = 0;
+    BOOST_TEST(fleet.heartbeat(1) == 200);
+    // It starts again under its id, by a clock that was set back.
+    node.target_started_at_ms = 2000;
+    node.heartbeat_sequence = 0;
+    const time_point late_until = steady_clock::now() + sidecar::max_report_delay;
+    while (steady_clock::now() < late_until) {
+        BOOST_TEST(fleet.heartbeat(1) == 200);
+        fleet.run_for(milliseconds(1000));
+    }
+    BOOST_TEST(fleet.heartbeat(1, "draining") == 200);
+    fleet.run_for(drain_period);
+    const int before = node.target->runs();
+    for (int i = 0; i < 60; ++i) {
+        fleet.call(static_cast<std::size_t>(i) % 3, read_request("c" + std::to_string(i)));
+    }
+    BOOST_TEST(node.target->runs() == before);
+}
+
+// Guards against a shutdown that is acknowledged although the target goes on getting requests.
+BOOST_AUTO_TEST_CASE(a_shutdown_that_may_be_that_of_an_earlier_instance_is_not_acknowledged)
+{
+    sidecar_fleet fleet(1);
+    sidecar_node& node = fleet.nodes[0];
+    node.target_started_at_ms = 3000;
+    node.heartbeat_sequence = 0;
+    BOOST_TEST(fleet.heartbeat(0) == 200);
+    node.target_started_at_ms = 2000;
+    BOOST_TEST(fleet.heartbeat(0, "draining") == 503);
+    BOOST_TEST(fleet.post_control(0, "/api/instances/i-0/deregister", R"({"born":2000})") == 503);
+    BOOST_TEST(fleet.call(0, read_request("c")).status == 200);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace pomeloloft::testing
