Each answer of the log has its own deadline

Each answer has its own deadline now, unless the caller names one, and the next read asks for an eighth, so that less is read in vain. The test's log no longer builds 256 MB before it sends the first byte; a new row has the log answer after 700 ms.

--- a/src/pomeloloft/log/http_log_client.cpp
+++ b/src/pomeloloft/log/http_log_client.cpp
@@ -20,6 +20,8 @@
 
 /// Bytes that an answer may have: a record of 1 MB takes up to 6 MB as a JSON string.
 constexpr std::size_t max_answer_bytes = 64U << 20U;
+/// Factor by which fewer records are read after an answer that was too long.
+constexpr std::uint32_t batch_reduction = 8;
 
 result<single_response> send_request(const std::string& address, HTTPRequest& request, std::string_view body,
                                      time_point deadline)
@@ -78,18 +80,26 @@
     }
 }
 
+/// Deadline of one answer to a read.
+time_point answer_deadline(const log_read_request& read)
+{
+    return read.response_deadline == no_deadline
+               ? std::max(read.wait_deadline, steady_clock::now()) + default_response_time
+               : read.response_deadline;
+}
+
 /// Reads at most `max_records` records. If they exceed the limit on answers, fewer are read.
-result<single_response> read_batch(const std::string& address, const log_read_request& read,
-                                   time_point deadline)
+result<single_response> read_batch(const std::string& address, const log_read_request& read)
 {
-    for (std::uint32_t max_records = read.max_records;; max_records /= 2) {
+    for (std::uint32_t max_records = read.max_records;;
+         max_records = std::max(max_records / batch_reduction, 1U)) {
         const milliseconds wait = remaining(read.wait_deadline, steady_clock::now());
         HTTPRequest request(HTTPRequest::HTTP_GET,
                             stream_path(read.stream) + "/records?from=" + std::to_string(read.from) +
                                 "&max=" + std::to_string(max_records) +
                                 "&wait_ms=" + std::to_string(wait.count()),
                             HTTPRequest::HTTP_1_1);
-        BOOST_OUTCOME_TRY(auto response, send_request(address, request, {}, deadline));
+        BOOST_OUTCOME_TRY(auto response, send_request(address, request, {}, answer_deadline(read)));
         if (!response.body_too_long || max_records <= 1) {
             return response;
         }
@@ -98,11 +108,7 @@
 
 result<log_batch> read_records(const std::string& address, const log_read_request& read)
 {
-    const time_point deadline =
-        read.response_deadline == no_deadline
-            ? std::max(read.wait_deadline, steady_clock::now()) + default_response_time
-            : read.response_deadline;
-    BOOST_OUTCOME_TRY(auto response, read_batch(address, read, deadline));
+    BOOST_OUTCOME_TRY(auto response, read_batch(address, read));
     BOOST_OUTCOME_TRY(auto body, parse_body(response));
     try {
         log_batch batch{read_bounds(body), {}};
--- a/src/pomeloloft/log/http_log_client_test.cpp
+++ b/src/pomeloloft/log/http_log_client_test.cpp
@@ -1,4 +1,5 @@
 #include <string>
+#include <thread>
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -59,18 +60,27 @@
     BOOST_TEST(!client.bounds(config_stream));
 }
 
-// A single record fits the limit on answers, a batch of large ones need not.
-BOOST_AUTO_TEST_CASE(records_that_are_too_long_for_one_answer_are_read_in_smaller_batches)
+// A single record fits the limit on answers, a batch of large ones need not. Guards against one deadline for
+// all the answers to a read.
+BOOST_DATA_TEST_CASE(records_that_are_too_long_for_one_answer_are_read_in_smaller_batches,
+                     boost::unit_test::data::make({0, 700}), response_time_ms)
 {
     constexpr std::size_t record_bytes = 1U << 20U;
+    // More would exceed 64 MB.
+    constexpr unsigned max_answer_records = 63;
     const testing::raw_remote log([&](const std::string& request) {
         const unsigned records = max_records_of(request);
-        std::string body = R"({"oldest": 0, "next": 256, "records": [)";
-        for (unsigned i = 0; i < records; ++i) {
-            body += (i == 0 ? "" : ", ") + std::string(R"({"offset": )") + std::to_string(i) +
-                    R"(, "data": ")" + std::string(record_bytes, 'x') + "\"}";
+        std::this_thread::sleep_for(milliseconds(response_time_ms));
+        const std::string head = ok_line + "\r\n" + R"({"oldest": 0, "next": 256, "records": [)";
+        const std::string record = R"({"offset": 0, "data": ")" + std::string(record_bytes, 'x') + "\"}";
+        if (records > max_answer_records) {
+            return testing::raw_response{head, record + ", ", records * record_bytes, close};
         }
-        return testing::raw_response{ok_line + "\r\n" + body + "]}", {}, 0, close};
+        std::string body = head + record;
+        for (unsigned i = 1; i < records; ++i) {
+            body += ", " + record;
+        }
+        return testing::raw_response{body + "]}", {}, 0, close};
     });
     const auto batch = make_http_log_client(log.address()).read(read_from_start());
     BOOST_REQUIRE(batch);
