A departure that cannot be stored does not block later reports

A write that was cancelled with its caller would have kept departures from being written for good.

Only the departure that is reported has to be known to a restarted process now, and the mark of a write in progress ends with the coroutine.

The cancelled write was read, not shown.

--- a/include/pomeloloft/sidecar/daemon.hpp
+++ b/include/pomeloloft/sidecar/daemon.hpp
@@ -57,9 +57,9 @@
     net::task<bool> register_self();
     net::task<void> discover_target();
     net::task<void> reconnect_target();
-    /// Writes the departures of the target to the store.
-    /// @return whether a restarted process will know them.
-    net::task<bool> persist_departures();
+    /// Writes the departures of this node's targets to the store.
+    /// @return whether a restarted process will know that of an instance.
+    net::task<bool> persist_departure(instance_key instance);
     void begin_draining();
     net::task<void> shut_down();
     void publish();
--- a/include/pomeloloft/sidecar/departure_record.hpp
+++ b/include/pomeloloft/sidecar/departure_record.hpp
@@ -3,7 +3,6 @@
 #include <deque>
 #include <optional>
 #include <string>
-#include <vector>
 
 #include "pomeloloft/sidecar/target.hpp"
 
@@ -24,9 +23,8 @@
 [[nodiscard]] std::string encode_departures(const std::deque<departure>& departed,
                                             const clock_reading& clock);
 
-/// The departures that a record does not hold.
-[[nodiscard]] std::vector<instance_key> departures_missing(const std::deque<departure>& departed,
-                                                           const std::deque<departure>& recorded);
+/// Whether a record holds a departure.
+[[nodiscard]] bool holds_departure(const std::deque<departure>& recorded, const departure& left);
 
 /// Decodes the departures of a record; nothing if the text is no such record.
 [[nodiscard]] std::optional<std::deque<departure>> decode_departures(const std::string& text,
--- a/include/pomeloloft/sidecar/target.hpp
+++ b/include/pomeloloft/sidecar/target.hpp
@@ -137,6 +137,11 @@
 /// started.
 void record_departure(target_record& target, const departure& left);
 
+/// The newest departure that an instance key matches; null if it has not announced its shutdown or
+/// deregistered. A key without a start time matches any instance under its id. Valid until the record
+/// changes.
+[[nodiscard]] const departure* departure_of(const target_record& target, const instance_key& instance);
+
 /// Whether an instance has announced its shutdown or deregistered.
 [[nodiscard]] bool has_departed(const target_record& target, const instance_key& instance);
 
--- a/src/pomeloloft/sidecar/daemon_target.cpp
+++ b/src/pomeloloft/sidecar/daemon_target.cpp
@@ -1,4 +1,3 @@
-#include <algorithm>
 #include <utility>
 
 #include "pomeloloft/base/log_line.hpp"
@@ -20,6 +19,18 @@
 constexpr std::uint32_t discovered_target_slots = 4;
 constexpr milliseconds peer_poll_interval{5};
 
+/// Sets a flag during its lifetime, which ends also when a coroutine is cancelled.
+class scoped_flag {
+public:
+    explicit scoped_flag(bool& target) : flag(target) { this->flag = true; }
+    scoped_flag(const scoped_flag&) = delete;
+    scoped_flag& operator=(const scoped_flag&) = delete;
+    ~scoped_flag() { this->flag = false; }
+
+private:
+    bool& flag;
+};
+
 } // namespace
 
 net::task<bool> sidecar_daemon::handle_report(target_report reported)
@@ -49,10 +60,12 @@
                                                 {"known", this->gate.target.sequence}});
         co_return false;
     }
-    if (this->gate.target.instance != reported.instance && !reported.draining) {
+    const bool is_leaving =
+        this->gate.target.state == target_state::leaving && this->gate.target.instance == reported.instance;
+    if (!reported.draining && !is_leaving) {
         co_return true;
     }
-    co_return co_await this->persist_departures();
+    co_return co_await this->persist_departure(reported.instance);
 }
 
 void sidecar_daemon::begin_draining()
@@ -80,45 +93,47 @@
                     {{"instance", instance.id}, {"known", this->gate.target.instance.id}});
         co_return false;
     }
-    co_return co_await this->persist_departures();
+    co_return co_await this->persist_departure(instance);
 }
 
-net::task<bool> sidecar_daemon::persist_departures()
+net::task<bool> sidecar_daemon::persist_departure(instance_key instance)
 {
+    const target_record& target = this->gate.target;
+    const departure* recorded = departure_of(target, instance);
+    if (recorded == nullptr) {
+        co_return false;
+    }
+    const departure leaving = *recorded;
     const time_point deadline = steady_clock::now() + persist_departure_timeout;
     while (this->persisting_departures && steady_clock::now() < deadline) {
         co_await net::sleep_for(peer_poll_interval);
     }
-    const std::deque<departure> departed = this->gate.target.departed;
-    const std::vector<instance_key> missing = departures_missing(departed, this->persisted_departures);
-    if (missing.empty()) {
+    if (holds_departure(this->persisted_departures, leaving)) {
         co_return true;
     }
-    if (this->persisting_departures) {
-        co_return false;
-    }
-    this->persisting_departures = true;
-    std::vector<store_record> records;
-    records.push_back({departure_key(this->shared.local_settings.node),
-                       encode_departures(departed, {steady_clock::now(), wall_clock_ms()})});
-    const auto written = co_await this->store->put(std::move(records), deadline);
-    this->persisting_departures = false;
-    if (written) {
-        this->persisted_departures = departed;
-        co_return true;
+    std::string reason = "an earlier write has not ended";
+    if (!this->persisting_departures) {
+        const scoped_flag persisting(this->persisting_departures);
+        const std::deque<departure> departed = target.departed;
+        std::vector<store_record> records;
+        records.push_back({departure_key(this->shared.local_settings.node),
+                           encode_departures(departed, {steady_clock::now(), wall_clock_ms()})});
+        const auto written = co_await this->store->put(std::move(records), deadline);
+        if (written) {
+            this->persisted_departures = departed;
+            co_return true;
+        }
+        reason = to_string(written.error());
     }
     // A peer that holds this node's entry tells a restarted process of the departure of its present target.
-    const auto is_in_entry = [this](const instance_key& instance) {
-        return this->gate.target.state == target_state::leaving && instance == this->gate.target.instance;
-    };
-    const bool in_entry = std::all_of(missing.begin(), missing.end(), is_in_entry);
+    const bool in_entry = target.state == target_state::leaving && target.instance == leaving.instance;
     while (in_entry && !this->members.peer_knows_self() && steady_clock::now() < deadline) {
         co_await net::sleep_for(peer_poll_interval);
     }
     const bool peers_know = in_entry && this->members.peer_knows_self();
-    log_warning("departure-not-stored", {{"instance", missing.back().id},
-                                         {"reason", to_string(written.error())},
-                                         {"peers_know", peers_know ? "yes" : "no"}});
+    log_warning(
+        "departure-not-stored",
+        {{"instance", leaving.instance.id}, {"reason", reason}, {"peers_know", peers_know ? "yes" : "no"}});
     co_return peers_know;
 }
 
--- a/src/pomeloloft/sidecar/departure_record.cpp
+++ b/src/pomeloloft/sidecar/departure_record.cpp
@@ -63,16 +63,9 @@
     return to_json_text(out);
 }
 
-std::vector<instance_key> departures_missing(const std::deque<departure>& departed,
-                                             const std::deque<departure>& recorded)
+bool holds_departure(const std::deque<departure>& recorded, const departure& left)
 {
-    std::vector<instance_key> out;
-    for (const departure& left : departed) {
-        if (std::find(recorded.begin(), recorded.end(), left) == recorded.end()) {
-            out.push_back(left.instance);
-        }
-    }
-    return out;
+    return std::find(recorded.begin(), recorded.end(), left) != recorded.end();
 }
 
 std::optional<std::deque<departure>> decode_departures(const std::string& text, const clock_reading& clock)
--- a/src/pomeloloft/sidecar/target.cpp
+++ b/src/pomeloloft/sidecar/target.cpp
@@ -137,10 +137,17 @@
     }
 }
 
+const departure* departure_of(const target_record& target, const instance_key& instance)
+{
+    const auto found =
+        std::find_if(target.departed.rbegin(), target.departed.rend(),
+                     [&instance](const departure& left) { return is_departure_of(left, instance); });
+    return found == target.departed.rend() ? nullptr : &*found;
+}
+
 bool has_departed(const target_record& target, const instance_key& instance)
 {
-    return std::any_of(target.departed.begin(), target.departed.end(),
-                       [&instance](const departure& left) { return is_departure_of(left, instance); });
+    return departure_of(target, instance) != nullptr;
 }
 
 report_effect apply_report(target_record& target, const target_report& report, time_point now)
--- a/src/pomeloloft/sidecar/target_test.cpp
+++ b/src/pomeloloft/sidecar/target_test.cpp
@@ -149,9 +149,10 @@
     const auto read = decode_departures(text, stored);
     BOOST_REQUIRE(read);
     BOOST_TEST((*read == departed));
-    BOOST_TEST(departures_missing(departed, *read).empty());
-    BOOST_TEST((departures_missing(departed, {departed[0], departed[2]}) ==
-                std::vector<instance_key>{departed[1].instance}));
+    for (const departure& left : departed) {
+        BOOST_TEST(holds_departure(*read, left));
+    }
+    BOOST_TEST(!holds_departure({departed[0], departed[2]}, departed[1]));
     // Read by another process, whose steady clock differs.
     const clock_reading later{time_point{milliseconds(50'000)}, stored.wall_ms + 2000};
     const auto reread = decode_departures(text, later);
--- a/test/integration/leaving_targets_test.cpp
+++ b/test/integration/leaving_targets_test.cpp
@@ -113,6 +113,17 @@
     BOOST_TEST(fleet.call(0, read_request("c")).status == 200);
 }
 
+// Guards against a departure that cannot be stored and keeps those after it from being acknowledged.
+BOOST_AUTO_TEST_CASE(during_a_store_outage_only_the_departure_that_peers_know_of_is_acknowledged)
+{
+    sidecar_fleet fleet(2);
+    fleet.run_for(milliseconds(1600));
+    fleet.store.mode = store_mode::busy;
+    BOOST_TEST(fleet.post_control(1, "/api/instances/i-1-ended/deregister", R"({"born":0})") == 503);
+    BOOST_TEST(fleet.heartbeat(1) == 200);
+    BOOST_TEST(fleet.heartbeat(1, "draining") == 200);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace pomeloloft::testing
