--- a/test/integration/leaving_targets_test.cpp
+++ b/test/integration/leaving_targets_test.cpp
@@ -1,5 +1,6 @@
 #define BOOST_TEST_MODULE leaving_targets
 #include <algorithm>
+#include <cstdint>
 #include <string>
 
 #include <boost/test/data/monomorphic.hpp>
@@ -25,6 +26,15 @@
                       [&line](const std::string& head) { return head.find(line) != std::string::npos; }));
 }
 
+/// Reports a start of a node's target under its id.
+/// @return the response status.
+int report_start(sidecar_fleet& fleet, std::size_t node, std::int64_t started_at_ms, const std::string& state)
+{
+    fleet.nodes[node].target_started_at_ms = started_at_ms;
+    fleet.nodes[node].heartbeat_sequence = 0;
+    return fleet.heartbeat(node, state);
+}
+
 /// How a target that has reported nothing yet deregisters.
 struct deregistration_row : named_row {
     /// Whether the deregistration states when the target started.
@@ -78,13 +88,10 @@
 BOOST_AUTO_TEST_CASE(a_target_that_started_before_its_clock_was_set_back_can_drain)
 {
     sidecar_fleet fleet(3);
-    sidecar_node& node = fleet.nodes[1];
-    node.target_started_at_ms = 3000;
-    node.heartbeat_sequence = 0;
-    BOOST_TEST(fleet.heartbeat(1) == 200);
+    const sidecar_node& node = fleet.nodes[1];
+    BOOST_TEST(report_start(fleet, 1, 3000, "ready") == 200);
     // It starts again under its id, by a clock that was set back.
-    node.target_started_at_ms = 2000;
-    node.heartbeat_sequence = 0;
+    BOOST_TEST(report_start(fleet, 1, 2000, "ready") == 200);
     const time_point late_until = steady_clock::now() + sidecar::max_report_delay;
     while (steady_clock::now() < late_until) {
         BOOST_TEST(fleet.heartbeat(1) == 200);
@@ -103,12 +110,8 @@
 BOOST_AUTO_TEST_CASE(a_shutdown_that_may_be_that_of_an_earlier_instance_is_not_acknowledged)
 {
     sidecar_fleet fleet(1);
-    sidecar_node& node = fleet.nodes[0];
-    node.target_started_at_ms = 3000;
-    node.heartbeat_sequence = 0;
-    BOOST_TEST(fleet.heartbeat(0) == 200);
-    node.target_started_at_ms = 2000;
-    BOOST_TEST(fleet.heartbeat(0, "draining") == 503);
+    BOOST_TEST(report_start(fleet, 0, 3000, "ready") == 200);
+    BOOST_TEST(report_start(fleet, 0, 2000, "draining") == 503);
     BOOST_TEST(fleet.post_control(0, "/api/instances/i-0/deregister", R"({"born":2000})") == 503);
     BOOST_TEST(fleet.call(0, read_request("c")).status == 200);
 }
