Tests: the failing target answers before the third crash, not by chance

The condition on it was left to chance.

Now two targets crash and stay down for 5 s, and the failing target reports meanwhile, so that it answers between the second and the third crash. The checks are the same. The case of the stored quarantine runs 500 ms in place of 800 of the 1,000 that its route allows.

--- a/test/integration/crashing_requests_test.cpp
+++ b/test/integration/crashing_requests_test.cpp
@@ -189,12 +189,13 @@
 // Guards against a target that fails all requests and thereby clears the one that crashes the others.
 BOOST_AUTO_TEST_CASE(a_crashing_request_is_refused_although_a_failing_target_answers_it)
 {
-    sidecar_fleet fleet(4);
-    platform_target& failing = *fleet.nodes[3].target;
+    constexpr std::size_t crashing_targets = 2;
+    sidecar_fleet fleet(std::vector<std::string>(crashing_targets + 1, "register"), {}, crashing_targets);
+    platform_target& failing = *fleet.nodes[crashing_targets].target;
     failing.mode = target_mode::responds_500;
-    for (std::size_t node = 0; node < 3; ++node) {
+    for (std::size_t node = 0; node < crashing_targets; ++node) {
         fleet.nodes[node].target->crash_path = crashing_path;
-        fleet.nodes[node].target->downtime = milliseconds(500);
+        fleet.nodes[node].target->downtime = milliseconds(5000);
     }
     int round = 0;
     const auto send_rounds = [&](const std::function<bool()>& is_done, milliseconds limit) {
@@ -205,10 +206,17 @@
             fleet.run_for(milliseconds(100));
         }
     };
-    send_rounds([&] { return crashes(fleet) >= 3 && failing.arrivals(crashing_path) > 0; },
-                milliseconds(20'000));
-    BOOST_REQUIRE(crashes(fleet) >= 3);
+    // Both targets are down after two crashes, so that the failing one answers before the third.
+    send_rounds([&] { return crashes(fleet) >= 2; }, milliseconds(20'000));
+    BOOST_REQUIRE(crashes(fleet) == 2);
+    fleet.heartbeat(crashing_targets);
+    send_rounds([&] { return failing.arrivals(crashing_path) > 0; }, milliseconds(20'000));
     BOOST_REQUIRE(failing.arrivals(crashing_path) > 0);
+    for (std::size_t node = 0; node < crashing_targets; ++node) {
+        fleet.nodes[node].target->downtime = milliseconds(500);
+    }
+    send_rounds([&] { return crashes(fleet) >= 3; }, milliseconds(20'000));
+    BOOST_REQUIRE(crashes(fleet) >= 3);
     const auto never = [] { return false; };
     send_rounds(never, stable_window);
     const int arrivals_in_window = arrivals(fleet);
@@ -255,7 +263,7 @@
     sidecar_fleet fleet(4);
     std::vector<platform_target*> crashing;
     for (sidecar_node& node : fleet.nodes) {
-        node.target->service_time = milliseconds(800);
+        node.target->service_time = milliseconds(500);
         node.target->downtime = milliseconds(500);
         crashing.push_back(node.target.get());
     }
