--- a/include/pomeloloft/sidecar/target.hpp
+++ b/include/pomeloloft/sidecar/target.hpp
@@ -20,7 +20,8 @@
     bool operator==(const instance_key&) const = default;
 };
 
-/// Longest time from the sending of a report to its arrival.
+/// Longest time from the sending of a report to its arrival: targets report every few seconds, and their
+/// platforms promise no more than that a report is late by seconds.
 inline constexpr milliseconds max_report_delay{5000};
 
 /// An instance that has announced its shutdown or deregistered.
